--- /dev/null
+++ b/crates/cassiarock-dispatch/src/agent.rs
@@ -0,0 +1,231 @@
+//! The agent's actor: a host with its links and its upstream.
+
+use crate::line::tell;
+use crate::links::{Newest, tempo};
+use crate::orders::Orders;
+use cassiarock_adapter::reports::Report;
+use cassiarock_id::Name;
+use cassiarock_peer::{Dialer, Event, Identity, Key};
+use cassiarock_process::{Clock, Status};
+use cassiarock_transient::host::{Action, Answer, Look, Task};
+use cassiarock_transient::{Host, Message};
+use cassiarock_wire::{Frame, Hello};
+use kameo::Actor;
+use kameo::message::{Context, Message as Handle};
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot, watch};
+
+/// Entries that an agent dials at most; the aim is some tens.
+const ENTRIES: usize = 256;
+
+/// What a look asks for.
+#[derive(Clone, Debug)]
+pub(crate) struct Glance {
+    /// The life of the upstream to look at.
+    pub(crate) life: Name,
+    /// The last end taken.
+    pub(crate) seen: u64,
+    /// Until when to renew the leases.
+    pub(crate) until: Option<u64>,
+    /// The agent's clock.
+    pub(crate) asked: Duration,
+}
+
+/// What happens to an agent.
+#[derive(Debug)]
+pub(crate) enum Input {
+    /// The upstream reports.
+    Report(Report),
+    /// Something on a link.
+    Link(Event),
+    /// An entry takes links there.
+    Entry(SocketAddr),
+    /// The upstream answered a start.
+    Started(Task, Answer, Option<u64>),
+    /// The upstream answered a stop.
+    Stopped(Task, Option<u64>),
+    /// What shall the next look ask for? None without an upstream.
+    Glance(oneshot::Sender<Option<Glance>>),
+    /// What a look showed.
+    Look(Look),
+    /// The upstream with this id is gone; another life answers.
+    Gone(Name),
+    /// Take no new tasks.
+    Leave,
+}
+
+/// Inputs handed to the actor at once. The reply is how long nothing is due.
+pub(crate) struct Batch(pub(crate) Vec<Input>);
+
+/// The shell around the host.
+#[derive(Actor)]
+pub(crate) struct Agent {
+    pub(crate) host: Host,
+    pub(crate) clock: Clock,
+    pub(crate) links: Newest,
+    pub(crate) dialers: HashMap<SocketAddr, Dialer>,
+    pub(crate) identity: Identity,
+    pub(crate) key: Key,
+    pub(crate) events: mpsc::Sender<Event>,
+    pub(crate) orders: Orders,
+    pub(crate) status: watch::Sender<Status>,
+}
+
+impl Handle<Batch> for Agent {
+    type Reply = Result<Duration, Infallible>;
+
+    async fn handle(&mut self, batch: Batch, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        let now = self.clock.now().up;
+        for input in batch.0 {
+            let actions = self.take(input, now);
+            self.carry_out(actions);
+        }
+        let actions = self.host.poll(now);
+        self.carry_out(actions);
+        self.report();
+        Ok(self.host.wake(now).saturating_sub(now))
+    }
+}
+
+impl Agent {
+    fn take(&mut self, input: Input, now: Duration) -> Vec<Action> {
+        match input {
+            Input::Report(Report::Here(worker)) => self.host.report(worker, now),
+            Input::Report(Report::Gone(id)) => self.host.gone(&id, "the upstream ended", now),
+            Input::Gone(id) => self
+                .host
+                .gone(&id, "another life of the upstream answers", now),
+            Input::Link(event) => self.event(event, now),
+            Input::Entry(address) => {
+                self.dial(address);
+                Vec::new()
+            }
+            Input::Started(task, answer, clock) => self.host.started(&task, answer, clock, now),
+            Input::Stopped(task, clock) => {
+                self.host.stopped(&task, clock, now);
+                Vec::new()
+            }
+            Input::Glance(reply) => {
+                // The looks end with the process.
+                let _ = reply.send(self.glance(now));
+                Vec::new()
+            }
+            Input::Look(look) => self.host.look(&look, now),
+            Input::Leave => {
+                self.status.send_modify(|status| status.leaving = true);
+                self.host.leave()
+            }
+        }
+    }
+
+    fn glance(&mut self, now: Duration) -> Option<Glance> {
+        let worker = self.host.worker().filter(|worker| !worker.is_gone)?;
+        let life = worker.id.clone();
+        Some(Glance {
+            life,
+            seen: self.host.seen(),
+            until: self.host.renew(now),
+            asked: now,
+        })
+    }
+
+    fn event(&mut self, event: Event, now: Duration) -> Vec<Action> {
+        match event {
+            Event::Up(link) => {
+                let peer = link.peer.clone();
+                log::info!(dependency:% = peer.process; "link opened");
+                self.links.open(link);
+                self.host.link(&peer.process, now)
+            }
+            Event::Frame(peer, Frame::Transient(message)) if self.links.is_newest(&peer) => {
+                self.message(&peer, message, now)
+            }
+            Event::Frame(..) => Vec::new(),
+            Event::Down(peer, serial) => {
+                if self.links.close(&peer, serial) {
+                    log::warn!(dependency:% = peer.process; "link lost");
+                    self.host.unlink(&peer.process);
+                }
+                Vec::new()
+            }
+        }
+    }
+
+    fn message(&mut self, peer: &Hello, message: Message, now: Duration) -> Vec<Action> {
+        let entry = &peer.process;
+        match message {
+            Message::Orders {
+                serial,
+                echo,
+                orders,
+            } => {
+                let echo = Duration::from_millis(echo);
+                self.host.order(entry, serial, echo, orders, now)
+            }
+            Message::Halt(attempts) => self.host.halt(entry, &attempts, now),
+            Message::EntryBeat { echo, version } => {
+                self.host.heard(entry, Duration::from_millis(echo), version);
+                Vec::new()
+            }
+            Message::Entries(entries) => {
+                let addresses = entries.iter().filter_map(|entry| entry.parse().ok());
+                for address in addresses.collect::<Vec<_>>() {
+                    self.dial(address);
+                }
+                Vec::new()
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    /// Keeps a link to the entry at `address`.
+    fn dial(&mut self, address: SocketAddr) {
+        if self.dialers.len() >= ENTRIES || self.dialers.contains_key(&address) {
+            return;
+        }
+        debug_assert_eq!(self.identity.tempo, tempo());
+        let dialer = Dialer::new(
+            address,
+            None,
+            self.identity.clone(),
+            self.key.clone(),
+            self.events.clone(),
+        );
+        self.dialers.insert(address, dialer);
+    }
+
+    fn carry_out(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send(to, message) => self.links.send(&to, message),
+                Action::Start { task, spec, until } => {
+                    if let Some(worker) = self.host.worker() {
+                        self.orders.start(worker.id.clone(), task, spec, until);
+                    }
+                }
+                Action::Stop(task) => {
+                    if let Some(worker) = self.host.worker() {
+                        self.orders.stop(worker.id.clone(), task);
+                    }
+                }
+                Action::Tell(decision) => tell(&decision),
+            }
+        }
+    }
+
+    fn report(&self) {
+        let (running, links) = (self.host.running(), self.links.len());
+        let ready = self.host.worker().is_some_and(|worker| !worker.is_gone);
+        metrics::gauge!("cassiarock_tasks_running").set(running as f64);
+        self.status.send_if_modified(|status| {
+            let before = status.clone();
+            status.ready = ready;
+            status.running = running;
+            status.links = links;
+            *status != before
+        });
+    }
+}
--- /dev/null
+++ b/crates/cassiarock-dispatch/src/entry.rs
@@ -0,0 +1,285 @@
+//! The entry's actor: a scheduler with its links and callers.
+
+use crate::line::tell;
+use crate::links::Newest;
+use cassiarock_adapter::callers::Call;
+use cassiarock_adapter::configuration;
+use cassiarock_id::{Name, Process};
+use cassiarock_peer::Event;
+use cassiarock_process::{Clock, Status};
+use cassiarock_transient::scheduler::{Action, Answer};
+use cassiarock_transient::{Message, Scheduler, Table};
+use cassiarock_wire::{Frame, Hello, Role};
+use kameo::Actor;
+use kameo::message::{Context, Message as Handle};
+use std::collections::{BTreeSet, HashMap};
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{oneshot, watch};
+
+/// Entries whose addresses are passed on to agents; the aim is some tens.
+const ENTRIES: usize = 256;
+
+/// What happens to an entry.
+#[derive(Debug)]
+pub(crate) enum Input {
+    /// A caller asks.
+    Call(Call),
+    /// Something on a link.
+    Link(Event),
+    /// A configuration from the store.
+    Configuration(Name),
+    /// Take no new jobs.
+    Leave,
+}
+
+/// Inputs handed to the actor at once. The reply is how long nothing is due.
+pub(crate) struct Batch(pub(crate) Vec<Input>);
+
+/// The shell around the scheduler.
+#[derive(Actor)]
+pub(crate) struct Entry {
+    pub(crate) scheduler: Scheduler,
+    pub(crate) clock: Clock,
+    pub(crate) links: Newest,
+    pub(crate) callers: HashMap<u64, oneshot::Sender<Answer>>,
+    /// The configuration in force, as text, to pass on.
+    pub(crate) text: Option<(u64, Name)>,
+    pub(crate) table: watch::Sender<Option<Arc<Table>>>,
+    pub(crate) status: watch::Sender<Status>,
+    /// Where other entries take links, as they said.
+    pub(crate) entries: BTreeSet<Name>,
+    pub(crate) beat: Duration,
+}
+
+impl Handle<Batch> for Entry {
+    type Reply = Result<Duration, Infallible>;
+
+    async fn handle(&mut self, batch: Batch, _: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        let now = self.clock.now().up;
+        for input in batch.0 {
+            let actions = self.take(input, now);
+            self.carry_out(actions);
+        }
+        let actions = self.scheduler.poll(now);
+        self.carry_out(actions);
+        self.beat_entries(now);
+        self.report(now);
+        Ok(self.scheduler.wake(now).saturating_sub(now))
+    }
+}
+
+impl Entry {
+    fn take(&mut self, input: Input, now: Duration) -> Vec<Action> {
+        match input {
+            Input::Call(call) => self.call(call, now),
+            Input::Link(event) => self.event(event, now),
+            Input::Configuration(text) => {
+                self.configure(&text, "the store");
+                Vec::new()
+            }
+            Input::Leave => {
+                self.status.send_modify(|status| status.leaving = true);
+                Vec::new()
+            }
+        }
+    }
+
+    fn call(&mut self, call: Call, now: Duration) -> Vec<Action> {
+        match call {
+            Call::Submit {
+                number,
+                job,
+                class,
+                patience,
+                reply,
+            } => {
+                self.callers.insert(number, reply);
+                self.scheduler.submit(number, job, class, patience, now)
+            }
+            Call::Left(number) => {
+                self.callers.remove(&number);
+                self.scheduler.abandon(number, "its caller left", now)
+            }
+            Call::Find(job, reply) => {
+                let number = self.scheduler.find(&job);
+                let state = number.map(|number| self.scheduler.is_started(number));
+                // The caller may have gone.
+                let _ = reply.send(state);
+                Vec::new()
+            }
+            Call::Cancel(job, reply) => self.cancel(&job, reply, now),
+            Call::Pending(route, reply) => {
+                // The caller may have gone.
+                let _ = reply.send(self.scheduler.pending(&route));
+                Vec::new()
+            }
+        }
+    }
+
+    fn cancel(&mut self, job: &str, reply: oneshot::Sender<bool>, now: Duration) -> Vec<Action> {
+        let number = self.scheduler.find(job);
+        // The caller may have gone.
+        let _ = reply.send(number.is_some());
+        let Some(number) = number else {
+            return Vec::new();
+        };
+        let mut actions = self
+            .scheduler
+            .abandon(number, "its caller cancelled it", now);
+        actions.push(Action::Answer(number, Answer::Cancelled));
+        actions
+    }
+
+    fn event(&mut self, event: Event, now: Duration) -> Vec<Action> {
+        match event {
+            Event::Up(link) => {
+                let peer = link.peer.clone();
+                log::info!(dependency:% = peer.process, role:? = peer.role; "link opened");
+                self.links.open(link);
+                match peer.role {
+                    Role::Agent => {
+                        self.scheduler.link(&peer.process, now);
+                        self.tell_entries(&peer.process);
+                    }
+                    Role::Entry => self.meet(&peer),
+                }
+                Vec::new()
+            }
+            Event::Frame(peer, Frame::Transient(message)) if self.links.is_newest(&peer) => {
+                self.message(&peer, message, now)
+            }
+            Event::Frame(..) => Vec::new(),
+            Event::Down(peer, serial) => {
+                if self.links.close(&peer, serial) {
+                    log::warn!(dependency:% = peer.process, role:? = peer.role; "link lost");
+                    self.scheduler.unlink(&peer.process);
+                }
+                Vec::new()
+            }
+        }
+    }
+
+    fn message(&mut self, peer: &Hello, message: Message, now: Duration) -> Vec<Action> {
+        match (peer.role, message) {
+            (Role::Entry, Message::EntryBeat { version, .. }) => {
+                if version > self.version() {
+                    self.links.send(&peer.process, Message::AskConfiguration);
+                }
+                Vec::new()
+            }
+            (Role::Entry, Message::AskConfiguration) => {
+                if let Some((version, text)) = self.text.clone() {
+                    let message = Message::Configuration { version, text };
+                    self.links.send(&peer.process, message);
+                }
+                Vec::new()
+            }
+            (Role::Entry, Message::Configuration { text, .. }) => {
+                self.configure(&text, "another entry");
+                Vec::new()
+            }
+            (_, message) => self.scheduler.message(&peer.process, message, now),
+        }
+    }
+
+    /// An entry that the store turns away is known to its agents through others.
+    fn meet(&mut self, peer: &Hello) {
+        if self.entries.len() < ENTRIES && self.entries.insert(peer.address.clone()) {
+            let agents: Vec<Process> = self.scheduler.linked().cloned().collect();
+            for agent in &agents {
+                self.tell_entries(agent);
+            }
+        }
+    }
+
+    fn tell_entries(&self, agent: &Process) {
+        if !self.entries.is_empty() {
+            let entries = self.entries.iter().cloned().collect();
+            self.links.send(agent, Message::Entries(entries));
+        }
+    }
+
+    fn beat_entries(&mut self, now: Duration) {
+        if now < self.beat + cassiarock_transient::timing::BEAT {
+            return;
+        }
+        self.beat = now;
+        let version = self.version();
+        let entries = self
+            .links
+            .links()
+            .filter(|link| link.peer.role == Role::Entry);
+        for link in entries {
+            let message = Message::EntryBeat { echo: 0, version };
+            // A link that does not take it is about to end.
+            let _ = link.send(Frame::Transient(message));
+        }
+    }
+
+    fn version(&self) -> u64 {
+        self.text.as_ref().map_or(0, |(version, _)| *version)
+    }
+
+    /// Takes a configuration if it is newer than the one in force.
+    fn configure(&mut self, text: &Name, from: &'static str) {
+        let table = match configuration::decode(text) {
+            Ok(table) => table,
+            Err(error) => {
+                log::warn!(from = from; "configuration left out: {error}");
+                return;
+            }
+        };
+        if table.version <= self.version() {
+            return;
+        }
+        log::info!(version = table.version, before = self.version(), routes = table.len(), from = from; "configuration in force");
+        metrics::gauge!("cassiarock_configuration_version").set(table.version as f64);
+        self.scheduler.adopt(table.version);
+        self.text = Some((table.version, text.clone()));
+        self.table.send_replace(Some(Arc::new(table)));
+    }
+
+    fn carry_out(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send(to, message) => self.links.send(&to, message),
+                Action::Answer(number, answer) => {
+                    metrics::counter!("cassiarock_answers_total", "answer" => label(answer))
+                        .increment(1);
+                    if let Some(caller) = self.callers.remove(&number) {
+                        // The caller may have gone just now.
+                        let _ = caller.send(answer);
+                    }
+                }
+                Action::Tell(decision) => tell(&decision),
+            }
+        }
+    }
+
+    fn report(&self, now: Duration) {
+        let ready = self.text.is_some() && self.scheduler.open(now) > 0;
+        let (jobs, links, version) = (self.scheduler.jobs(), self.links.len(), self.version());
+        metrics::gauge!("cassiarock_jobs").set(jobs as f64);
+        metrics::gauge!("cassiarock_agents_open").set(self.scheduler.open(now) as f64);
+        self.status.send_if_modified(|status| {
+            let before = status.clone();
+            status.ready = ready && !status.leaving;
+            status.jobs = jobs;
+            status.links = links;
+            status.version = version;
+            *status != before
+        });
+    }
+}
+
+const fn label(answer: Answer) -> &'static str {
+    match answer {
+        Answer::Completed => "completed",
+        Answer::Failed => "failed",
+        Answer::Cancelled => "cancelled",
+        Answer::GivenUp => "given_up",
+        Answer::Refused { .. } => "refused",
+    }
+}
--- /dev/null
+++ b/crates/cassiarock-dispatch/src/error.rs
@@ -0,0 +1,19 @@
+//! Why a process could not start.
+
+/// A listener or a client could not be set up; nothing has been served.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The platform's side.
+    #[error(transparent)]
+    Platform(#[from] cassiarock_adapter::Error),
+    /// The links between the system's own processes.
+    #[error(transparent)]
+    Links(#[from] cassiarock_peer::Error),
+    /// The listener for operators.
+    #[error(transparent)]
+    Monitor(#[from] cassiarock_process::Error),
+    /// The settings lack an address that this role needs: give the role to machines of the
+    /// class that has it, and let the role serve it.
+    #[error("the settings name no address for {0}")]
+    Address(&'static str),
+}
--- /dev/null
+++ b/crates/cassiarock-dispatch/src/follow.rs
@@ -0,0 +1,74 @@
+//! Follows a keyed topic of the platform's store.
+
+use cassiarock_adapter::store::{Part, split};
+use cassiarock_adapter::{Error, Store};
+use cassiarock_platform::follow::Backoff;
+use std::time::Duration;
+
+/// How long a read waits for a record. Waiting reads are priced as calls: six of them wait in
+/// a system of three entries and eleven agents at a time.
+const WAIT: Duration = Duration::from_secs(20);
+
+/// Gives each record of the topic's newest ones and all later ones to `take`, for ever: its
+/// key and its value. The store may forget the history and be away; then the newest records
+/// are read anew.
+pub(crate) async fn follow(store: Store, topic: &'static str, mut take: impl FnMut(&str, &[u8])) {
+    let mut backoff = Backoff::default();
+    let mut next = None;
+    let mut lost: Option<tokio::time::Instant> = None;
+    loop {
+        match step(&store, topic, next, &mut take).await {
+            Ok(end) => {
+                next = end;
+                backoff.succeed();
+                if let Some(since) = lost.take() {
+                    let away_ms = since.elapsed().as_millis() as u64;
+                    log::info!(dependency = "store", topic = topic, away_ms = away_ms; "regained");
+                }
+            }
+            Err(error) => {
+                if lost.is_none() {
+                    lost = Some(tokio::time::Instant::now());
+                    log::warn!(dependency = "store", topic = topic; "lost: {error}");
+                }
+                metrics::counter!("cassiarock_store_errors_total", "topic" => topic).increment(1);
+                let wait = backoff.fail(rand::random());
+                tokio::time::sleep(wait.min(LONGEST)).await;
+            }
+        }
+    }
+}
+
+/// Entries must have a change within two seconds also when the store is just back.
+const LONGEST: Duration = Duration::from_secs(1);
+
+/// One read. Gives where to read next; `None` to begin with the newest records again.
+async fn step(
+    store: &Store,
+    topic: &'static str,
+    next: Option<u64>,
+    take: &mut impl FnMut(&str, &[u8]),
+) -> Result<Option<u64>, Error> {
+    let of = Part { topic, part: 0 };
+    let Some(next) = next else {
+        let (entries, end) = store.newest(of).await?;
+        for entry in entries {
+            take(&entry.key, &entry.value);
+        }
+        return Ok(Some(end));
+    };
+    match store.read(of, next, WAIT).await {
+        // A log that ends before what was read is another one.
+        Ok(batch) if batch.end < next || batch.earliest > next => Ok(None),
+        Ok(batch) => {
+            for record in &batch.records {
+                if let Some((key, value)) = split(record) {
+                    take(key, value);
+                }
+            }
+            Ok(Some(next + batch.records.len() as u64))
+        }
+        Err(error) if error.is_expired() => Ok(None),
+        Err(error) => Err(error),
+    }
+}
--- /dev/null
+++ b/crates/cassiarock-dispatch/src/lib.rs
@@ -0,0 +1,15 @@
+//! The entry and the agent for transient jobs on the users' platform: actors, links, listeners.
+
+mod agent;
+mod directory;
+mod entry;
+mod error;
+mod follow;
+mod line;
+mod links;
+mod orders;
+mod reload;
+mod run;
+
+pub use error::Error;
+pub use run::{agent, entry};
--- /dev/null
+++ b/crates/cassiarock-dispatch/src/line.rs
@@ -0,0 +1,54 @@
+//! Decisions as lines of the log.
+
+use cassiarock_transient::Decision;
+use log::kv::{Error, Key, Source, Value, VisitSource};
+use log::{Level, Record};
+
+/// The target of lines that tell of decisions.
+const TARGET: &str = "cassiarock::decision";
+
+/// The pairs of a decision's line.
+struct Pairs<'a>(&'a Decision);
+
+impl Source for Pairs<'_> {
+    fn visit<'kvs>(&'kvs self, visitor: &mut dyn VisitSource<'kvs>) -> Result<(), Error> {
+        let Decision {
+            request,
+            job,
+            fields,
+            ..
+        } = self.0;
+        if !request.is_empty() {
+            visitor.visit_pair(Key::from_str("request"), Value::from(&**request))?;
+        }
+        if !job.is_empty() {
+            visitor.visit_pair(Key::from_str("job"), Value::from(&**job))?;
+        }
+        for (name, value) in fields {
+            visitor.visit_pair(Key::from_str(name), Value::from(value.as_str()))?;
+        }
+        Ok(())
+    }
+}
+
+/// Writes the line of a decision and counts it.
+pub(crate) fn tell(decision: &Decision) {
+    metrics::counter!("cassiarock_decisions_total", "what" => decision.what).increment(1);
+    let level = if decision.is_failure {
+        Level::Warn
+    } else {
+        Level::Info
+    };
+    if level > log::max_level() {
+        return;
+    }
+    let pairs = Pairs(decision);
+    log::logger().log(
+        &Record::builder()
+            .target(TARGET)
+            .level(level)
+            .args(format_args!("{}", decision.what))
+            .key_values(&pairs)
+            .build(),
+    );
+}
--- /dev/null
+++ b/crates/cassiarock-dispatch/src/orders.rs
@@ -0,0 +1,128 @@
+//! Carries orders to the upstream and looks at it.
+
+use crate::agent::{Glance, Input};
+use cassiarock_adapter::Worker;
+use cassiarock_adapter::worker::{CONNECTIONS, Fault};
+use cassiarock_id::Name;
+use cassiarock_transient::host::{Answer, Task};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{Semaphore, mpsc, oneshot};
+
+/// How long a look waits for an end. The leases are renewed with each look, and an upstream
+/// that does not answer is found by one that fails.
+const WAIT: Duration = Duration::from_millis(200);
+
+/// The pause after a look that failed.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// The pause while no upstream is known.
+const IDLE: Duration = Duration::from_millis(100);
+
+/// Sends orders, a few at a time: each one under way has a connection, and new connections
+/// are dear to the upstream.
+#[derive(Clone, Debug)]
+pub(crate) struct Orders {
+    worker: Worker,
+    inputs: mpsc::Sender<Input>,
+    free: Arc<Semaphore>,
+}
+
+impl Orders {
+    pub(crate) fn new(worker: Worker, inputs: mpsc::Sender<Input>) -> Self {
+        let free = Arc::new(Semaphore::new(CONNECTIONS - 1));
+        Self {
+            worker,
+            inputs,
+            free,
+        }
+    }
+
+    pub(crate) fn start(&self, life: Name, task: Task, spec: Name, until: u64) {
+        let this = self.clone();
+        tokio::spawn(async move {
+            // The semaphore is never closed.
+            let _permit = this.free.acquire().await;
+            let began = tokio::time::Instant::now();
+            let input = match this.worker.start(&life, &task, &spec, until).await {
+                Ok((answer, clock)) => Input::Started(task, answer, clock),
+                Err(Fault::OtherLife) => Input::Gone(life),
+                Err(Fault::Call(error)) => {
+                    log::warn!(task:% = task; "{error}");
+                    Input::Started(task, Answer::Silent, None)
+                }
+            };
+            metrics::histogram!("cassiarock_start_seconds").record(began.elapsed());
+            // The actor may have ended.
+            let _ = this.inputs.send(input).await;
+        });
+    }
+
+    pub(crate) fn stop(&self, life: Name, task: Task) {
+        let this = self.clone();
+        tokio::spawn(async move {
+            // The semaphore is never closed.
+            let _permit = this.free.acquire().await;
+            let input = match this.worker.stop(&life, &task).await {
+                Ok(clock) => Input::Stopped(task, clock),
+                Err(Fault::OtherLife) => Input::Gone(life),
+                Err(Fault::Call(error)) => {
+                    // The host orders it again.
+                    log::warn!(task:% = task; "{error}");
+                    return;
+                }
+            };
+            // The actor may have ended.
+            let _ = this.inputs.send(input).await;
+        });
+    }
+
+    /// Looks at the upstream, one look after the other, until the process ends.
+    pub(crate) async fn look(self) {
+        let mut lost: Option<tokio::time::Instant> = None;
+        loop {
+            let (reply, glance) = oneshot::channel();
+            if self.inputs.send(Input::Glance(reply)).await.is_err() {
+                return;
+            }
+            let Ok(Some(glance)) = glance.await else {
+                tokio::time::sleep(IDLE).await;
+                continue;
+            };
+            let is_answered = self.look_once(glance).await;
+            match (is_answered, lost) {
+                (true, Some(since)) => {
+                    let away_ms = since.elapsed().as_millis() as u64;
+                    log::info!(dependency = "upstream", away_ms = away_ms; "regained");
+                    lost = None;
+                }
+                (false, None) => lost = Some(tokio::time::Instant::now()),
+                (true, None) | (false, Some(_)) => {}
+            }
+            if !is_answered {
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+
+    async fn look_once(&self, glance: Glance) -> bool {
+        let Glance {
+            life,
+            seen,
+            until,
+            asked,
+        } = glance;
+        let look = self.worker.look(&life, seen, until, WAIT, asked).await;
+        let (is_answered, input) = match look {
+            Ok(look) => (true, Input::Look(look)),
+            Err(Fault::OtherLife) => (false, Input::Gone(life)),
+            Err(Fault::Call(error)) => {
+                log::warn!(dependency = "upstream"; "lost: {error}");
+                return false;
+            }
+        };
+        // The actor may have ended.
+        let _ = self.inputs.send(input).await;
+        is_answered
+    }
+}
--- a/crates/cassiarock-peer/src/dial.rs
+++ b/crates/cassiarock-peer/src/dial.rs
@@ -13,10 +13,6 @@
 /// The pause before the first new try: a restarted peer listens again within it.
 const SHORTEST: Duration = Duration::from_millis(50);
 
-/// The longest pause: a peer that comes back is found within two of them, and thousands of
-/// dead ones cost little.
-const LONGEST: Duration = Duration::from_secs(1);
-
 /// Keeps a link to one process open; dropping it ends the link.
 #[derive(Debug)]
 pub struct Dialer {
@@ -39,7 +35,7 @@
                 let began = tokio::time::Instant::now();
                 let error = attempt(address, wanted.as_ref(), &me, &key, &events).await;
                 log::debug!(peer:% = address; "link ended: {error}");
-                pause = next_pause(pause, began.elapsed());
+                pause = next_pause(pause, began.elapsed(), me.tempo.pause);
                 tokio::time::sleep(jittered(pause)).await;
             }
         });
@@ -53,11 +49,11 @@
     }
 }
 
-fn next_pause(pause: Duration, lasted: Duration) -> Duration {
-    if lasted > LONGEST {
+fn next_pause(pause: Duration, lasted: Duration, longest: Duration) -> Duration {
+    if lasted > longest {
         return SHORTEST;
     }
-    (pause * 2).min(LONGEST)
+    (pause * 2).min(longest)
 }
 
 /// Half to whole of `pause`, so that many processes do not dial a returning one at once.
@@ -72,11 +68,13 @@
     key: &Key,
     events: &mpsc::Sender<Event>,
 ) -> Error {
-    let opened = timeout(handshake::PATIENCE, open(peer, wanted, me, key)).await;
+    let opened = timeout(me.tempo.handshake, open(peer, wanted, me, key)).await;
     match opened {
         Err(_) => Error::Silent { peer },
         Ok(Err(error)) => error,
-        Ok(Ok((socket, hello))) => link::run(socket, peer, hello, events.clone()).await,
+        Ok(Ok((socket, hello))) => {
+            link::run(socket, peer, hello, me.tempo.silence, events.clone()).await
+        }
     }
 }
 
--- a/crates/cassiarock-peer/src/error.rs
+++ b/crates/cassiarock-peer/src/error.rs
@@ -71,7 +71,7 @@
         /// The role of who answered.
         role: Role,
     },
-    /// Nothing came for `SILENCE`: the connection is open and dead. It is replaced.
+    /// Nothing came for the silence of `Tempo`: the connection is open and dead. It is replaced.
     #[error("link with {peer}: silent")]
     Silent {
         /// The peer's address.
--- a/crates/cassiarock-peer/src/handshake.rs
+++ b/crates/cassiarock-peer/src/handshake.rs
@@ -1,19 +1,15 @@
 //! Each side proves that it knows the shared key before any other frame counts.
 
-use crate::{Error, Key};
+use crate::{Error, Key, Tempo};
 use cassiarock_id::{Name, Process};
 use cassiarock_wire::{Frame, Hello, Role, decode, encode};
 use futures_util::{SinkExt, StreamExt};
 use std::net::SocketAddr;
-use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::Message;
 
-/// A peer that opens a connection and says nothing would hold a place for ever.
-pub(crate) const PATIENCE: Duration = Duration::from_secs(2);
-
 pub(crate) type Socket = WebSocketStream<TcpStream>;
 
 /// Who this process is towards its peers.
@@ -27,6 +23,8 @@
     pub data_centre: Name,
     /// Where others dial it.
     pub address: Name,
+    /// How soon it takes a link for dead.
+    pub tempo: Tempo,
 }
 
 impl Identity {
@@ -51,11 +49,11 @@
     key: &Key,
 ) -> Result<Hello, Error> {
     let ours = rand::random();
-    send(socket, peer, me.hello(ours, Vec::new())).await?;
-    let theirs = receive(socket, peer).await?;
+    send(socket, peer, me, me.hello(ours, Vec::new())).await?;
+    let theirs = receive(socket, peer, me).await?;
     check(key, &theirs, &ours, peer)?;
     let proof = key.proof(&theirs.nonce, &ours, &me.process);
-    send(socket, peer, me.hello(ours, proof)).await?;
+    send(socket, peer, me, me.hello(ours, proof)).await?;
     Ok(theirs)
 }
 
@@ -66,11 +64,11 @@
     me: &Identity,
     key: &Key,
 ) -> Result<Hello, Error> {
-    let first = receive(socket, peer).await?;
+    let first = receive(socket, peer, me).await?;
     let ours = rand::random();
     let proof = key.proof(&first.nonce, &ours, &me.process);
-    send(socket, peer, me.hello(ours, proof)).await?;
-    let second = receive(socket, peer).await?;
+    send(socket, peer, me, me.hello(ours, proof)).await?;
+    let second = receive(socket, peer, me).await?;
     check(key, &second, &ours, peer)?;
     Ok(second)
 }
@@ -87,21 +85,26 @@
     Ok(())
 }
 
-async fn send(socket: &mut Socket, peer: SocketAddr, hello: Hello) -> Result<(), Error> {
+async fn send(
+    socket: &mut Socket,
+    peer: SocketAddr,
+    me: &Identity,
+    hello: Hello,
+) -> Result<(), Error> {
     let failed = |reason: String| Error::Socket {
         step: "send a hello",
         peer,
         reason,
     };
     let bytes = encode(&Frame::Hello(hello)).map_err(|e| failed(e.to_string()))?;
-    let sent = timeout(PATIENCE, socket.send(Message::binary(bytes))).await;
+    let sent = timeout(me.tempo.handshake, socket.send(Message::binary(bytes))).await;
     sent.map_err(|_| failed("timed out".into()))?
         .map_err(|e| failed(e.to_string()))
 }
 
-async fn receive(socket: &mut Socket, peer: SocketAddr) -> Result<Hello, Error> {
+async fn receive(socket: &mut Socket, peer: SocketAddr, me: &Identity) -> Result<Hello, Error> {
     let failed = |reason| Error::Handshake { peer, reason };
-    let message = timeout(PATIENCE, socket.next())
+    let message = timeout(me.tempo.handshake, socket.next())
         .await
         .map_err(|_| failed("no hello in time"))?
         .ok_or(failed("closed before a hello"))?
--- a/crates/cassiarock-peer/src/lib.rs
+++ b/crates/cassiarock-peer/src/lib.rs
@@ -7,11 +7,13 @@
 mod link;
 mod links;
 mod listen;
+mod tempo;
 
 pub use dial::Dialer;
 pub use error::Error;
 pub use handshake::Identity;
 pub use key::Key;
-pub use link::{Event, Link, SILENCE};
+pub use link::{Event, Link};
 pub use links::Links;
 pub use listen::Listener;
+pub use tempo::Tempo;
--- a/crates/cassiarock-peer/src/link.rs
+++ b/crates/cassiarock-peer/src/link.rs
@@ -13,11 +13,6 @@
 use tokio::time::timeout;
 use tokio_tungstenite::tungstenite::Message;
 
-/// A link on which nothing came for this long is closed. Both actors send at least a
-/// heartbeat a second, so three in a row were missed: the peer is paused, dead or cut off,
-/// or something between the two ends has lost track of the connection.
-pub const SILENCE: Duration = Duration::from_secs(3);
-
 /// Frames waiting for a peer. A peer that is this far behind is not reading: dropping the
 /// link bounds the memory, and the work on it is settled over the next one.
 const BACKLOG: usize = 16_384;
@@ -63,6 +58,7 @@
     socket: Socket,
     address: SocketAddr,
     hello: Hello,
+    silence: Duration,
     events: mpsc::Sender<Event>,
 ) -> Error {
     let peer = Arc::new(hello);
@@ -78,8 +74,8 @@
     }
     let (sink, stream) = socket.split();
     let error = tokio::select! {
-        error = write(sink, queue, address) => error,
-        error = read(stream, &peer, &events, address) => error,
+        error = write(sink, queue, address, silence) => error,
+        error = read(stream, &peer, &events, address, silence) => error,
     };
     let _ = events.send(Event::Down(peer, serial)).await;
     error
@@ -89,13 +85,14 @@
     mut sink: SplitSink<Socket, Message>,
     mut queue: mpsc::Receiver<Frame>,
     peer: SocketAddr,
+    silence: Duration,
 ) -> Error {
     let mut batch = Vec::with_capacity(BATCH);
     loop {
         if queue.recv_many(&mut batch, BATCH).await == 0 {
             return Error::Closed { peer };
         }
-        let sent = timeout(SILENCE, write_batch(&mut sink, &mut batch)).await;
+        let sent = timeout(silence, write_batch(&mut sink, &mut batch)).await;
         match sent {
             Ok(Ok(())) => {}
             Ok(Err(reason)) => return socket_error("write", peer, reason),
@@ -126,9 +123,10 @@
     peer: &Arc<Hello>,
     events: &mpsc::Sender<Event>,
     address: SocketAddr,
+    silence: Duration,
 ) -> Error {
     loop {
-        let message = match timeout(SILENCE, stream.next()).await {
+        let message = match timeout(silence, stream.next()).await {
             Err(_) => return Error::Silent { peer: address },
             Ok(None | Some(Ok(Message::Close(_)))) => return Error::Closed { peer: address },
             Ok(Some(Err(e))) => return socket_error("read", address, e.to_string()),
--- a/crates/cassiarock-peer/src/listen.rs
+++ b/crates/cassiarock-peer/src/listen.rs
@@ -37,7 +37,7 @@
         loop {
             let Ok((stream, address)) = self.listener.accept().await else {
                 // Out of file descriptors: trying again at once would only spin.
-                tokio::time::sleep(handshake::PATIENCE).await;
+                tokio::time::sleep(me.tempo.handshake).await;
                 continue;
             };
             let (me, key, events) = (me.clone(), key.clone(), events.clone());
@@ -64,14 +64,14 @@
     if let Err(e) = stream.set_nodelay(true) {
         return socket_error(e.to_string());
     }
-    let opened = timeout(handshake::PATIENCE, tokio_tungstenite::accept_async(stream)).await;
+    let opened = timeout(me.tempo.handshake, tokio_tungstenite::accept_async(stream)).await;
     let mut socket = match opened {
         Err(_) => return socket_error("timed out".into()),
         Ok(Err(e)) => return socket_error(e.to_string()),
         Ok(Ok(socket)) => socket,
     };
     match handshake::accept(&mut socket, peer, me, key).await {
-        Ok(hello) => link::run(socket, peer, hello, events).await,
+        Ok(hello) => link::run(socket, peer, hello, me.tempo.silence, events).await,
         Err(error) => {
             metrics::counter!("cassiarock_peer_turned_away_total").increment(1);
             log::warn!(peer:% = peer; "turned away: {error}");
--- a/crates/cassiarock-peer/tests/link.rs
+++ b/crates/cassiarock-peer/tests/link.rs
@@ -3,7 +3,7 @@
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 use cassiarock_id::{Job, Process, Wall};
-use cassiarock_peer::{Dialer, Event, Identity, Key, Link, Listener};
+use cassiarock_peer::{Dialer, Event, Identity, Key, Link, Listener, Tempo};
 use cassiarock_wire::{Frame, Role};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -16,6 +16,7 @@
         role: Role::Entry,
         data_centre: "dc-1".into(),
         address: "".into(),
+        tempo: Tempo::default(),
     }
 }
 
--- a/crates/cassiarock-process/src/clock.rs
+++ b/crates/cassiarock-process/src/clock.rs
@@ -1,12 +1,14 @@
 //! The time, read by shells and handed to decisions.
 
 use cassiarock_id::Wall;
-use std::time::{Duration, Instant};
+use nix::time::{ClockId, clock_gettime};
+use std::time::Duration;
 
 /// One reading of both clocks.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Now {
-    /// Time since the process started, which never steps.
+    /// Time since the process started, which never steps. It goes on while the VM is
+    /// suspended: what was promised to others for a time must not outlast it.
     pub up: Duration,
     /// Wall-clock time, which other processes' times are compared with.
     pub wall: Wall,
@@ -21,23 +23,21 @@
 /// ```
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
-    started: Instant,
+    started: Duration,
 }
 
 impl Clock {
     /// Clocks that count from now.
     #[must_use]
     pub fn new() -> Self {
-        Self {
-            started: Instant::now(),
-        }
+        Self { started: booted() }
     }
 
     /// A reading.
     #[must_use]
     pub fn now(&self) -> Now {
         Now {
-            up: self.started.elapsed(),
+            up: booted().saturating_sub(self.started),
             wall: Wall::now(),
         }
     }
@@ -48,3 +48,10 @@
         Self::new()
     }
 }
+
+/// The time since the VM started, its suspensions included. The clock is there on every
+/// system that the daemon runs on; without it time would stand still, and nothing would be
+/// served.
+fn booted() -> Duration {
+    clock_gettime(ClockId::CLOCK_BOOTTIME).map_or(Duration::ZERO, Duration::from)
+}
--- /dev/null
+++ b/crates/cassiarock-transient/src/decision.rs
@@ -0,0 +1,52 @@
+//! What a decision tells the log.
+
+use cassiarock_id::Name;
+use std::fmt;
+
+/// One decision: what was decided, about which request, and the inputs that decided it.
+///
+/// ```
+/// use cassiarock_transient::Decision;
+/// let line = Decision::new("refused", "r-1", "5c0e").with("reason", "queue").with("wait_ms", 812);
+/// assert_eq!(line.fields[1], ("wait_ms", "812".to_owned()));
+/// ```
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Decision {
+    /// What was decided, in one word or two.
+    pub what: &'static str,
+    /// The caller's id of the request; empty if the decision is about no single one.
+    pub request: Name,
+    /// The job's id.
+    pub job: Name,
+    /// The inputs, their age or version, and the outcome.
+    pub fields: Vec<(&'static str, String)>,
+    /// Whether something went wrong: such lines are the last to be dropped.
+    pub is_failure: bool,
+}
+
+impl Decision {
+    /// A decision without inputs so far.
+    pub fn new(what: &'static str, request: impl Into<Name>, job: impl Into<Name>) -> Self {
+        Self {
+            what,
+            request: request.into(),
+            job: job.into(),
+            fields: Vec::new(),
+            is_failure: false,
+        }
+    }
+
+    /// The same with one more input.
+    #[must_use]
+    pub fn with(mut self, name: &'static str, value: impl fmt::Display) -> Self {
+        self.fields.push((name, value.to_string()));
+        self
+    }
+
+    /// The same, marked as a failure.
+    #[must_use]
+    pub const fn failed(mut self) -> Self {
+        self.is_failure = true;
+        self
+    }
+}
--- /dev/null
+++ b/crates/cassiarock-transient/src/demand.rs
@@ -0,0 +1,61 @@
+//! What a task takes of an upstream, and what an upstream has.
+
+use serde::{Deserialize, Serialize};
+
+/// An amount of each resource.
+///
+/// ```
+/// use cassiarock_transient::Demand;
+/// let room = Demand::new(64_000, 131_072, 0);
+/// let task = Demand::new(6_200, 64, 0);
+/// assert!(task.fits(&room));
+/// assert!(!Demand::new(65_000, 64, 0).fits(&room));
+/// assert_eq!(room.minus(&task).cpu, 57_800);
+/// ```
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Demand {
+    /// Processor time, in thousandths of a core.
+    pub cpu: u64,
+    /// Memory in MiB.
+    pub memory: u64,
+    /// Accelerators.
+    pub accelerators: u64,
+}
+
+impl Demand {
+    /// These amounts.
+    #[must_use]
+    pub const fn new(cpu: u64, memory: u64, accelerators: u64) -> Self {
+        Self {
+            cpu,
+            memory,
+            accelerators,
+        }
+    }
+
+    /// Whether all of it is there in `room`.
+    #[must_use]
+    pub const fn fits(&self, room: &Self) -> bool {
+        self.cpu <= room.cpu && self.memory <= room.memory && self.accelerators <= room.accelerators
+    }
+
+    /// Both amounts together.
+    #[must_use]
+    pub const fn plus(&self, other: &Self) -> Self {
+        Self {
+            cpu: self.cpu.saturating_add(other.cpu),
+            memory: self.memory.saturating_add(other.memory),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
+        }
+    }
+
+    /// What is left without `other`, at least nothing.
+    #[must_use]
+    pub const fn minus(&self, other: &Self) -> Self {
+        Self {
+            cpu: self.cpu.saturating_sub(other.cpu),
+            memory: self.memory.saturating_sub(other.memory),
+            accelerators: self.accelerators.saturating_sub(other.accelerators),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cassiarock-transient/src/host/owner.rs
@@ -0,0 +1,47 @@
+//! What an agent knows of an entry that places tasks on it.
+
+use crate::message::Ending;
+use crate::timing::CONTACT;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// An entry, as long as it is linked or ends are kept for it.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Owner {
+    pub(super) is_linked: bool,
+    /// This agent's clock as the entry last echoed it.
+    pub(super) echo: Duration,
+    /// The number of its last orders.
+    pub(super) serial: u64,
+    /// Whether it has been told of the room since the last change was told to all.
+    pub(super) told: bool,
+    /// Ends that it may not have heard of, each with the time until which it is kept.
+    pub(super) kept: VecDeque<(Duration, Ending)>,
+}
+
+impl Owner {
+    /// A new link counts its orders anew.
+    pub(super) const fn link(&mut self) {
+        self.is_linked = true;
+        self.serial = 0;
+    }
+
+    pub(super) fn heard(&mut self, echo: Duration) {
+        self.echo = self.echo.max(echo);
+    }
+
+    pub(super) fn keep(&mut self, endings: &[Ending], now: Duration, keep: Duration) {
+        let kept = endings.iter().map(|ending| (now + keep, *ending));
+        self.kept.extend(kept);
+    }
+
+    pub(super) fn forget(&mut self, now: Duration) {
+        while self.kept.front().is_some_and(|(until, _)| *until <= now) {
+            self.kept.pop_front();
+        }
+    }
+
+    pub(super) fn is_idle(&self, now: Duration) -> bool {
+        self.kept.is_empty() && now.saturating_sub(self.echo) >= CONTACT
+    }
+}
--- /dev/null
+++ b/crates/cassiarock-transient/src/host/run.rs
@@ -0,0 +1,220 @@
+//! The attempts on one upstream.
+
+use crate::Demand;
+use crate::message::{Attempt, End, Start};
+use cassiarock_id::{Name, Process};
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::Duration;
+
+/// An attempt at a task, with the job's id by which the upstream knows it.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Task {
+    /// The job's id.
+    pub job: Name,
+    /// The attempt.
+    pub attempt: Attempt,
+}
+
+impl Task {
+    /// A task that only the upstream knows.
+    #[must_use]
+    pub fn named(job: &Name, named: &Named) -> Self {
+        let attempt = Attempt {
+            number: 0,
+            stage: named.stage,
+            index: named.index,
+            attempt: named.attempt,
+        };
+        Self {
+            job: job.clone(),
+            attempt,
+        }
+    }
+}
+
+impl fmt::Display for Task {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Attempt {
+            stage,
+            index,
+            attempt,
+            ..
+        } = self.attempt;
+        write!(f, "{stage}.{index}#{attempt}")
+    }
+}
+
+/// An attempt as the upstream names it, within its job.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Named {
+    /// The stage.
+    pub stage: u32,
+    /// The task within its stage.
+    pub index: u32,
+    /// The number of the task's start.
+    pub attempt: u32,
+}
+
+impl Named {
+    /// Whether `attempt` is this start.
+    #[must_use]
+    pub const fn is_same_start(&self, attempt: &Attempt) -> bool {
+        self.stage == attempt.stage
+            && self.index == attempt.index
+            && self.attempt == attempt.attempt
+    }
+}
+
+/// How the upstream answered a start.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Answer {
+    /// The task runs.
+    Started,
+    /// It does not fit.
+    Full,
+    /// The upstream has seen a higher attempt.
+    Passed,
+    /// The upstream turned the order away; it has done nothing.
+    Refused,
+    /// No answer came: the order may still be carried out.
+    Silent,
+}
+
+/// What a look at the upstream showed.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Look {
+    /// The upstream's clock in milliseconds.
+    pub clock: u64,
+    /// When the look was asked for, by the agent's clock.
+    pub asked: Duration,
+    /// What runs, by job.
+    pub running: Vec<(Name, Named)>,
+    /// What has ended: the end's number, the job, the attempt and how it ended.
+    pub ended: Vec<(u64, Name, Named, End)>,
+}
+
+/// Where an attempt stands.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Phase {
+    /// Its order is on its way.
+    Starting,
+    /// It runs.
+    Running,
+    /// Its stop was ordered then.
+    Stopping(Duration),
+}
+
+/// An attempt on the upstream.
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub(super) owner: Process,
+    pub(super) request: Name,
+    pub(super) demand: Demand,
+    pub(super) expected: Duration,
+    pub(super) since: Duration,
+    pub(super) phase: Phase,
+    /// Whether the upstream has listed it as running.
+    pub(super) listed: bool,
+    /// When the upstream answered its stop.
+    pub(super) stopped: Option<Duration>,
+}
+
+impl Run {
+    pub(super) const fn new(owner: Process, request: Name, start: &Start, now: Duration) -> Self {
+        Self {
+            owner,
+            request,
+            demand: start.demand,
+            expected: start.expected,
+            since: now,
+            phase: Phase::Starting,
+            listed: false,
+            stopped: None,
+        }
+    }
+}
+
+/// All attempts, with the room that they take.
+#[derive(Debug, Default)]
+pub(super) struct Runs {
+    runs: BTreeMap<Task, Run>,
+    taken: Demand,
+}
+
+impl Runs {
+    pub(super) fn len(&self) -> usize {
+        self.runs.len()
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.runs.is_empty()
+    }
+
+    pub(super) const fn taken(&self) -> Demand {
+        self.taken
+    }
+
+    pub(super) fn add(&mut self, task: Task, run: Run) {
+        self.taken = self.taken.plus(&run.demand);
+        self.runs.insert(task, run);
+    }
+
+    pub(super) fn remove(&mut self, task: &Task) -> Option<Run> {
+        let run = self.runs.remove(task)?;
+        self.taken = self.taken.minus(&run.demand);
+        Some(run)
+    }
+
+    pub(super) fn get(&self, task: &Task) -> Option<&Run> {
+        self.runs.get(task)
+    }
+
+    pub(super) fn get_mut(&mut self, task: &Task) -> Option<&mut Run> {
+        self.runs.get_mut(task)
+    }
+
+    pub(super) fn iter(&self) -> impl Iterator<Item = (&Task, &Run)> {
+        self.runs.iter()
+    }
+
+    pub(super) fn iter_mut(&mut self) -> impl Iterator<Item = (&Task, &mut Run)> {
+        self.runs.iter_mut()
+    }
+
+    /// The attempts of `entry`.
+    pub(super) fn of<'a>(&'a self, entry: &'a Process) -> impl Iterator<Item = Attempt> + 'a {
+        let runs = self.runs.iter();
+        runs.filter(move |(_, run)| run.owner == *entry)
+            .map(|(task, _)| task.attempt)
+    }
+
+    pub(super) fn has(&self, entry: &Process) -> bool {
+        self.runs.values().any(|run| run.owner == *entry)
+    }
+
+    pub(super) fn find(&self, entry: &Process, attempt: &Attempt) -> Option<Task> {
+        let mut runs = self.runs.iter();
+        let found = runs.find(|(task, run)| task.attempt == *attempt && run.owner == *entry);
+        found.map(|(task, _)| task.clone())
+    }
+
+    /// The attempt that the upstream names so.
+    pub(super) fn named(&self, job: &Name, named: &Named) -> Option<Task> {
+        let tasks = self.runs.keys();
+        let mut same = tasks.filter(|task| task.job == *job);
+        same.find(|task| named.is_same_start(&task.attempt))
+            .cloned()
+    }
+
+    /// Another attempt at the same task, of whatever entry.
+    pub(super) fn same(&self, task: &Task) -> Option<Task> {
+        let tasks = self.runs.keys();
+        let mut same = tasks.filter(|other| {
+            other.job == task.job
+                && other.attempt.stage == task.attempt.stage
+                && other.attempt.index == task.attempt.index
+        });
+        same.next().cloned()
+    }
+}
--- /dev/null
+++ b/crates/cassiarock-transient/src/lib.rs
@@ -0,0 +1,18 @@
+//! The decisions for transient jobs: admit, order, place, retry, stop; without I/O or clock.
+
+mod decision;
+mod demand;
+pub mod host;
+mod job;
+pub mod message;
+pub mod scheduler;
+pub mod table;
+pub mod timing;
+
+pub use decision::Decision;
+pub use demand::Demand;
+pub use host::Host;
+pub use job::{Class, Job, Stage};
+pub use message::Message;
+pub use scheduler::Scheduler;
+pub use table::Table;
--- /dev/null
+++ b/crates/cassiarock-transient/src/message.rs
@@ -0,0 +1,183 @@
+//! What entries and agents tell each other about transient jobs.
+
+use crate::Demand;
+use cassiarock_id::Name;
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
+use std::time::Duration;
+
+/// One attempt at one task, by the entry's own number of the job: a job that is submitted
+/// again has another number, so that late news of the first cannot be taken for the second's.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Attempt {
+    /// The entry's number of the job.
+    pub number: u64,
+    /// The stage.
+    pub stage: u32,
+    /// The task within its stage.
+    pub index: u32,
+    /// The number of the task's start; it rises from start to start.
+    pub attempt: u32,
+}
+
+/// A task to start.
+#[serde_as]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Start {
+    /// The stage.
+    pub stage: u32,
+    /// The task within its stage.
+    pub index: u32,
+    /// The number of the task's start.
+    pub attempt: u32,
+    /// What it takes.
+    pub demand: Demand,
+    /// How long it should run.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub expected: Duration,
+}
+
+/// Tasks of one job to start on one upstream.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Order {
+    /// The entry's number of the job.
+    pub number: u64,
+    /// The job's id.
+    pub job: Name,
+    /// The caller's id of the request.
+    pub request: Name,
+    /// What the tasks are told.
+    pub spec: Name,
+    /// The tasks.
+    pub tasks: Vec<Start>,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub enum End {
+    /// The task is done.
+    Done,
+    /// It ran and failed.
+    Failed,
+    /// It was stopped.
+    Stopped,
+    /// It was broken off, by the upstream's end or a lapsed lease.
+    Lost,
+    /// It never started: no room.
+    Full,
+    /// It never started: the upstream takes no new work.
+    Closed,
+    /// It never started: the order was too old when it arrived.
+    Stale,
+    /// It never started: an earlier attempt at the same task is still being stopped there.
+    Busy,
+    /// It never started: the upstream has seen a higher attempt.
+    Passed,
+    /// It never started: the upstream turned it away or did not answer.
+    Refused,
+}
+
+impl End {
+    /// Whether the attempt never ran.
+    #[must_use]
+    pub const fn is_unrun(self) -> bool {
+        !matches!(self, Self::Done | Self::Failed | Self::Stopped | Self::Lost)
+    }
+}
+
+/// The end of an attempt.
+#[serde_as]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Ending {
+    /// Which.
+    pub attempt: Attempt,
+    /// How.
+    pub end: End,
+    /// How long it ran.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub ran: Duration,
+}
+
+/// What an agent's upstream can take now.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Load {
+    /// The last orders of the receiving entry that are counted in.
+    pub seen: u64,
+    /// Room for new tasks; nothing if the upstream is leaving.
+    pub free: Demand,
+    /// The share of its latest tasks that failed, in hundredths.
+    pub failing: u8,
+    /// How long its tasks run, in hundredths of what was expected of them.
+    pub pace: u16,
+    /// How many entries place tasks on it.
+    pub entries: u16,
+}
+
+/// What an agent's upstream is.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Upstream {
+    /// Its id; a restarted upstream has another one.
+    pub id: Name,
+    /// The pool that it belongs to.
+    pub service: Name,
+    /// All its room.
+    pub capacity: Demand,
+    /// Its kind, its rack and other labels.
+    pub labels: Vec<Name>,
+    /// Whether it takes no new work.
+    pub is_leaving: bool,
+}
+
+/// A message about transient jobs.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Message {
+    /// Entry to agent: start these.
+    Orders {
+        /// The number of this message on its link.
+        serial: u64,
+        /// The agent's clock as last heard, in milliseconds.
+        echo: u64,
+        /// The orders.
+        orders: Vec<Order>,
+    },
+    /// Entry to agent: stop these; nobody waits for them any more.
+    Halt(Vec<Attempt>),
+    /// Entry to agent: a heartbeat.
+    EntryBeat {
+        /// The agent's clock as last heard, in milliseconds.
+        echo: u64,
+        /// The version of the configuration in force at the entry.
+        version: u64,
+    },
+    /// Agent to entry: a heartbeat.
+    AgentBeat {
+        /// The agent's clock in milliseconds.
+        clock: u64,
+        /// The newest version of the configuration that the agent has heard of.
+        version: u64,
+        /// What its upstream can take.
+        load: Load,
+    },
+    /// Agent to entry: what its upstream is, if it has one.
+    Upstream(Option<Upstream>),
+    /// Agent to entry: ends of attempts, and what the upstream can take after them.
+    Ended {
+        /// The ends.
+        endings: Vec<Ending>,
+        /// What its upstream can take.
+        load: Load,
+    },
+    /// Agent to entry on a new link: all attempts of this entry that the agent still has.
+    Held(Vec<Attempt>),
+    /// Send me your configuration.
+    AskConfiguration,
+    /// A configuration, as the platform's store holds it.
+    Configuration {
+        /// Its version.
+        version: u64,
+        /// Its text.
+        text: Name,
+    },
+    /// Entry to agent: the addresses of all entries that it knows.
+    Entries(Vec<Name>),
+}
--- /dev/null
+++ b/crates/cassiarock-transient/src/scheduler/admit.rs
@@ -0,0 +1,109 @@
+//! Whether a job is taken in.
+//!
+//! The load that this answers is a burst or the loss of upstreams: more work than there is
+//! room for. Taking all of it in would make every job late. A job is refused at once if the
+//! work that goes before it would keep it past the time up to which it is useful.
+
+use super::work::Work;
+use super::{Answer, Scheduler, told};
+use crate::{Decision, Demand};
+use std::time::Duration;
+
+/// A job is taken in if it should end within this share of the time between its objective
+/// and the point at which its answer is worth nothing. Estimates are off by 40%, so a bound at
+/// the objective itself refuses much that would be on time.
+const GRACE: f64 = 0.35;
+
+/// The first pause that a refused caller is asked to make, and the most that chance adds to
+/// it: callers that were refused together should not come back together.
+const AGAIN: Duration = Duration::from_secs(1);
+
+/// Without any upstream or configuration, one is expected back within this time.
+const AGAIN_EMPTY: Duration = Duration::from_secs(2);
+
+impl Scheduler {
+    /// The answer of a refusal and its line, or the line of an admission.
+    pub(super) fn admit(&self, work: &Work, now: Duration) -> Result<Decision, (Answer, Decision)> {
+        let service = &work.class.service;
+        let open: Vec<_> = self
+            .agents
+            .values()
+            .filter(|agent| agent.is_open(now) && agent.serves(service))
+            .collect();
+        let line = |what| told(what, work, now).with("upstreams", open.len());
+        if open.is_empty() {
+            let answer = refused(AGAIN_EMPTY, false);
+            return Err((
+                answer,
+                line("refused").with("reason", "no upstream").failed(),
+            ));
+        }
+        let fits = |demand: &Demand| open.iter().any(|agent| demand.fits(&agent.capacity()));
+        if let Some(stage) = work.job.stages.iter().find(|stage| !fits(&stage.demand)) {
+            let line = line("impossible").with("cpu", stage.demand.cpu);
+            return Err((Answer::Failed, line.with("memory", stage.demand.memory)));
+        }
+        let room: u64 = open.iter().map(|agent| agent.free().cpu).sum();
+        let before = self.work_before(work);
+        let wait = if before.0 + cpu(work) <= room {
+            Duration::ZERO
+        } else {
+            let capacity: u64 = open.iter().map(|agent| agent.capacity().cpu).sum();
+            let entries = open.iter().map(|agent| agent.load.entries).max();
+            let share = capacity as f64 / 1000.0 / f64::from(entries.unwrap_or(1).max(1));
+            Duration::from_secs_f64(before.1 / share.max(1.0) / 1000.0)
+        };
+        let end = now + wait + work.chain;
+        let last = work.due + work.limit.saturating_sub(work.due).mul_f64(GRACE);
+        let line = |what| {
+            line(what)
+                .with("wait_ms", wait.as_millis())
+                .with("chain_ms", work.chain.as_millis())
+                .with("queue", self.queue.len())
+                .with("free_cpu", room)
+                .with("version", work.class.version)
+        };
+        if end > last {
+            let answer = refused(AGAIN + wait, true);
+            return Err((answer, line("refused").with("reason", "queue")));
+        }
+        Ok(line("admitted"))
+    }
+
+    /// The processor room that waiting tasks want that go before `work`, and their work in
+    /// core-milliseconds.
+    fn work_before(&self, work: &Work) -> (u64, f64) {
+        let key = (work.latest(), work.number);
+        let before = self.queue.range(..key);
+        let before = before.filter_map(|(_, number)| self.works.get(number));
+        before.fold((0, 0.0), |(room, work), next| {
+            (room + waiting_cpu(next), work + next.waiting_work())
+        })
+    }
+}
+
+fn waiting_cpu(next: &Work) -> u64 {
+    let stages = next.job.stages.iter().zip(&next.tasks);
+    stages
+        .map(|(stage, tasks)| {
+            let waiting = tasks.iter().filter(|task| task.agent().is_none());
+            waiting.count() as u64 * stage.demand.cpu
+        })
+        .sum()
+}
+
+fn cpu(work: &Work) -> u64 {
+    let stages = work.job.stages.iter();
+    stages
+        .map(|stage| u64::from(stage.tasks) * stage.demand.cpu)
+        .sum()
+}
+
+/// A refusal. The pause is spread over half as much again.
+pub(super) fn refused(again: Duration, is_overload: bool) -> Answer {
+    let spread = again.mul_f64(rand::random_range(0.0..0.5));
+    Answer::Refused {
+        again: again + spread,
+        is_overload,
+    }
+}
--- /dev/null
+++ b/crates/cassiarock-transient/src/scheduler/agent.rs
@@ -0,0 +1,110 @@
+//! What an entry knows of an agent and its upstream.
+
+use crate::Demand;
+use crate::message::{Load, Upstream};
+use crate::timing::{QUIET, RECLAIM};
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// The entry's view of one life of an agent.
+#[derive(Clone, Debug)]
+pub(super) struct Agent {
+    pub(super) upstream: Option<Upstream>,
+    pub(super) load: Load,
+    pub(super) is_linked: bool,
+    /// When the last message came.
+    pub(super) heard: Duration,
+    /// The agent's own clock in milliseconds, from its last heartbeat.
+    pub(super) clock: u64,
+    /// The number of the last orders sent.
+    pub(super) serial: u64,
+    /// What was ordered and may not be counted in the load yet.
+    sent: VecDeque<(u64, Demand)>,
+    /// Tasks placed there that have not ended.
+    pub(super) placed: usize,
+    /// When a task was last tried there although the upstream looks faulty.
+    pub(super) probed: Duration,
+    /// Whether it is kept out of placing for what its latest tasks showed.
+    pub(super) is_ejected: bool,
+}
+
+impl Agent {
+    pub(super) fn new(now: Duration) -> Self {
+        Self {
+            upstream: None,
+            load: Load::default(),
+            is_linked: true,
+            heard: now,
+            clock: 0,
+            serial: 0,
+            sent: VecDeque::new(),
+            placed: 0,
+            probed: Duration::ZERO,
+            is_ejected: false,
+        }
+    }
+
+    /// A new link: numbers of orders begin anew.
+    pub(super) fn link(&mut self, now: Duration) {
+        self.is_linked = true;
+        self.heard = now;
+        self.serial = 0;
+        self.sent.clear();
+        self.load = Load::default();
+    }
+
+    pub(super) fn update(&mut self, load: Load) {
+        self.load = load;
+        while self
+            .sent
+            .front()
+            .is_some_and(|(serial, _)| *serial <= load.seen)
+        {
+            self.sent.pop_front();
+        }
+    }
+
+    pub(super) fn order(&mut self, demand: Demand) {
+        self.serial += 1;
+        self.sent.push_back((self.serial, demand));
+    }
+
+    /// Room for new tasks: as told, less what is on its way.
+    pub(super) fn free(&self) -> Demand {
+        let sent = self.sent.iter();
+        sent.fold(self.load.free, |free, (_, demand)| free.minus(demand))
+    }
+
+    /// Whether tasks may be placed there at all.
+    pub(super) fn is_open(&self, now: Duration) -> bool {
+        self.is_linked
+            && self.clock > 0
+            && now.saturating_sub(self.heard) < QUIET
+            && self
+                .upstream
+                .as_ref()
+                .is_some_and(|upstream| !upstream.is_leaving)
+    }
+
+    /// Whether its tasks must have ended: it has not been heard for too long.
+    pub(super) fn is_lost(&self, now: Duration) -> bool {
+        now.saturating_sub(self.heard) >= RECLAIM
+    }
+
+    pub(super) fn serves(&self, service: &str) -> bool {
+        let upstream = self.upstream.as_ref();
+        upstream.is_some_and(|upstream| &*upstream.service == service)
+    }
+
+    pub(super) fn capacity(&self) -> Demand {
+        let upstream = self.upstream.as_ref();
+        upstream
+            .map(|upstream| upstream.capacity)
+            .unwrap_or_default()
+    }
+
+    pub(super) fn has_label(&self, label: &str) -> bool {
+        let upstream = self.upstream.as_ref();
+        upstream.is_some_and(|upstream| upstream.labels.iter().any(|own| &**own == label))
+    }
+}
--- /dev/null
+++ b/crates/cassiarock-transient/src/scheduler/mod.rs
@@ -0,0 +1,330 @@
+//! The entry's side: which jobs are taken, in which order their tasks are placed, and where.
+
+mod admit;
+mod agent;
+mod place;
+mod ratio;
+mod settle;
+mod work;
+
+use crate::message::{Message, Order};
+use crate::timing::BEAT;
+use crate::{Class, Decision, Job};
+use agent::Agent;
+use cassiarock_id::Process;
+use ratio::Ratios;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+use work::Work;
+
+/// A process that was not run for this long may hold requests whose callers have left and
+/// submitted them elsewhere. It learns of that from its sockets first.
+const FROZEN: Duration = Duration::from_millis(300);
+
+/// How long it then places nothing: several rounds of reading all sockets.
+const THAW: Duration = Duration::from_millis(50);
+
+/// The longest pause between two polls, so that a freeze shows.
+const LONGEST: Duration = Duration::from_millis(50);
+
+/// What a caller is answered.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Answer {
+    /// All tasks are done.
+    Completed,
+    /// The job has failed: one of its tasks did, as often as it may.
+    Failed,
+    /// The job was given up; tasks of it may have run.
+    GivenUp,
+    /// The caller has cancelled it.
+    Cancelled,
+    /// The job was not run, and nothing of it will be.
+    Refused {
+        /// When the caller should come back.
+        again: Duration,
+        /// Whether the system has too much to do, rather than no upstream at all.
+        is_overload: bool,
+    },
+}
+
+/// What the shell is to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Send a message to an agent.
+    Send(Process, Message),
+    /// Answer the caller of the job with this number.
+    Answer(u64, Answer),
+    /// A line for the log.
+    Tell(Decision),
+}
+
+/// The jobs and agents of one entry.
+#[derive(Debug, Default)]
+pub struct Scheduler {
+    agents: BTreeMap<Process, Agent>,
+    works: HashMap<u64, Work>,
+    /// Jobs with tasks that wait, the one that has to start first at the front.
+    queue: BTreeSet<(Duration, u64)>,
+    ratios: Ratios,
+    polled: Duration,
+    paused: Duration,
+    beat: Duration,
+    version: u64,
+    /// Whether something has come since the last poll that may allow tasks to be placed.
+    is_stirred: bool,
+}
+
+impl Scheduler {
+    /// A scheduler without agents.
+    ///
+    /// ```
+    /// assert_eq!(cassiarock_transient::Scheduler::new().jobs(), 0);
+    /// ```
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Jobs without an answer.
+    #[must_use]
+    pub fn jobs(&self) -> usize {
+        self.works.len()
+    }
+
+    /// Jobs of which nothing has started.
+    #[must_use]
+    pub fn pending(&self, route: &str) -> usize {
+        let works = self.works.values();
+        let unstarted = works.filter(|work| !work.is_started && &*work.class.route == route);
+        unstarted.count()
+    }
+
+    /// Agents that can be given tasks.
+    #[must_use]
+    pub fn open(&self, now: Duration) -> usize {
+        let agents = self.agents.values();
+        agents.filter(|agent| agent.is_open(now)).count()
+    }
+
+    /// The linked agents.
+    pub fn linked(&self) -> impl Iterator<Item = &Process> {
+        let agents = self.agents.iter();
+        agents
+            .filter(|(_, agent)| agent.is_linked)
+            .map(|(process, _)| process)
+    }
+
+    /// The version of the configuration in force, for heartbeats.
+    pub const fn adopt(&mut self, version: u64) {
+        self.version = version;
+    }
+
+    /// The number of the unanswered job with this id, if it is here.
+    #[must_use]
+    pub fn find(&self, job: &str) -> Option<u64> {
+        let mut works = self.works.values();
+        let found = works.find(|work| &*work.job.id == job);
+        found.map(|work| work.number)
+    }
+
+    /// Whether the job with this number has started.
+    #[must_use]
+    pub fn is_started(&self, number: u64) -> bool {
+        self.works.get(&number).is_some_and(|work| work.is_started)
+    }
+
+    /// Takes a job in, or refuses it at once. The shell gives each job a number of its own.
+    /// Its caller leaves after `patience`.
+    pub fn submit(
+        &mut self,
+        number: u64,
+        job: Job,
+        class: Arc<Class>,
+        patience: Duration,
+        now: Duration,
+    ) -> Vec<Action> {
+        let ratio = self.ratios.of(&class.route);
+        let work = Work::new(number, job, class, patience, ratio, now);
+        let mut actions = Vec::new();
+        match self.admit(&work, now) {
+            Ok(told) => {
+                actions.push(Action::Tell(told));
+                self.queue.insert((work.latest(), number));
+                self.works.insert(number, work);
+                self.is_stirred = true;
+            }
+            Err((answer, told)) => {
+                actions.push(Action::Tell(told));
+                actions.push(Action::Answer(number, answer));
+            }
+        }
+        actions
+    }
+
+    /// The caller has left or has cancelled the job: nobody waits for it any more.
+    pub fn abandon(&mut self, number: u64, reason: &'static str, now: Duration) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let Some(work) = self.remove(number) else {
+            return actions;
+        };
+        actions.push(Action::Tell(
+            told("abandoned", &work, now).with("reason", reason),
+        ));
+        self.halt_all(&work, &mut actions);
+        actions
+    }
+
+    /// A link to an agent opened.
+    pub fn link(&mut self, agent: &Process, now: Duration) {
+        let known = self.agents.entry(agent.clone());
+        known.or_insert_with(|| Agent::new(now)).link(now);
+    }
+
+    /// The last link to an agent is gone.
+    pub fn unlink(&mut self, agent: &Process) {
+        if let Some(agent) = self.agents.get_mut(agent) {
+            agent.is_linked = false;
+        }
+    }
+
+    /// A message of an agent.
+    pub fn message(&mut self, from: &Process, message: Message, now: Duration) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let Some(agent) = self.agents.get_mut(from) else {
+            return actions;
+        };
+        agent.heard = now;
+        self.is_stirred = true;
+        match message {
+            Message::AgentBeat { clock, load, .. } => {
+                agent.clock = agent.clock.max(clock);
+                agent.update(load);
+                self.judge();
+            }
+            Message::Upstream(upstream) => {
+                let told = Decision::new("upstream", "", "").with("agent", from);
+                let told = match &upstream {
+                    Some(upstream) => told
+                        .with("upstream", &upstream.id)
+                        .with("leaving", upstream.is_leaving),
+                    None => told.with("upstream", "none"),
+                };
+                actions.push(Action::Tell(told));
+                agent.upstream = upstream;
+            }
+            Message::Ended { endings, load } => {
+                agent.update(load);
+                for ending in endings {
+                    self.settle(from, &ending, now, &mut actions);
+                }
+            }
+            Message::Held(held) => self.reconcile(from, &held, now, &mut actions),
+            Message::Orders { .. }
+            | Message::Halt(_)
+            | Message::EntryBeat { .. }
+            | Message::AskConfiguration
+            | Message::Configuration { .. }
+            | Message::Entries(_) => {}
+        }
+        actions
+    }
+
+    /// Carries out what is due.
+    pub fn poll(&mut self, now: Duration) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let gap = now.saturating_sub(self.polled);
+        if gap >= FROZEN && !self.polled.is_zero() {
+            self.paused = now + THAW;
+            let told = Decision::new("thawed", "", "").with("gap_ms", gap.as_millis());
+            actions.push(Action::Tell(told.failed()));
+        }
+        self.polled = now;
+        self.reclaim(now, &mut actions);
+        self.give_up(now, &mut actions);
+        self.shift(now, &mut actions);
+        if now >= self.paused {
+            self.place(now, &mut actions);
+        }
+        self.is_stirred = false;
+        self.heartbeat(now, &mut actions);
+        actions
+    }
+
+    /// When [`Self::poll`] has to be called next.
+    #[must_use]
+    pub fn wake(&self, now: Duration) -> Duration {
+        let retry = self.queue.iter().filter_map(|(_, number)| {
+            let tasks = self.works.get(number)?.tasks.iter().flatten();
+            let due = tasks.filter_map(|task| match task.phase {
+                work::Phase::Waiting(at) if at > now => Some(at),
+                _ => None,
+            });
+            due.min()
+        });
+        let next = retry.min().unwrap_or(Duration::MAX);
+        next.min(now + LONGEST).min(self.beat + BEAT)
+    }
+
+    fn heartbeat(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        if now < self.beat + BEAT {
+            return;
+        }
+        self.beat = now;
+        for (process, agent) in &self.agents {
+            if agent.is_linked {
+                let message = Message::EntryBeat {
+                    echo: agent.clock,
+                    version: self.version,
+                };
+                actions.push(Action::Send(process.clone(), message));
+            }
+        }
+    }
+
+    fn remove(&mut self, number: u64) -> Option<Work> {
+        let work = self.works.remove(&number)?;
+        self.queue.remove(&(work.latest(), number));
+        for (agent, _) in work.placed() {
+            if let Some(agent) = self.agents.get_mut(&agent) {
+                agent.placed = agent.placed.saturating_sub(1);
+            }
+        }
+        Some(work)
+    }
+
+    /// Tells the agents that nobody waits for the job's tasks.
+    fn halt_all(&self, work: &Work, actions: &mut Vec<Action>) {
+        let mut halts: BTreeMap<Process, Vec<crate::message::Attempt>> = BTreeMap::new();
+        for (agent, attempt) in work.placed() {
+            halts.entry(agent).or_default().push(attempt);
+        }
+        for (agent, attempts) in halts {
+            actions.push(Action::Send(agent, Message::Halt(attempts)));
+        }
+    }
+
+    fn send_orders(&mut self, orders: BTreeMap<Process, Vec<Order>>, actions: &mut Vec<Action>) {
+        for (process, orders) in orders {
+            let Some(agent) = self.agents.get(&process) else {
+                continue;
+            };
+            let message = Message::Orders {
+                serial: agent.serial,
+                echo: agent.clock,
+                orders,
+            };
+            actions.push(Action::Send(process, message));
+        }
+    }
+}
+
+/// A line about a job, with what every line about one says.
+fn told(what: &'static str, work: &Work, now: Duration) -> Decision {
+    Decision::new(what, work.job.request.clone(), work.job.id.clone())
+        .with("route", &work.class.route)
+        .with("age_ms", now.saturating_sub(work.arrived).as_millis())
+        .with("left_ms", work.limit.saturating_sub(now).as_millis())
+        .with("tasks", work.job.tasks())
+        .with("not_done", work.left)
+}
--- /dev/null
+++ b/crates/cassiarock-transient/src/scheduler/place.rs
@@ -0,0 +1,234 @@
+//! Where tasks are placed.
+
+use super::agent::Agent;
+use super::work::{Phase, Work};
+use super::{Action, Scheduler, told};
+use crate::message::{Order, Start};
+use crate::{Demand, Stage};
+use cassiarock_id::Process;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Jobs in the queue that are looked at in one round once one of them found no room: a small
+/// task further back may fit where a large one does not.
+const BEHIND: usize = 16;
+
+/// An upstream with this share of failed tasks, in hundredths, is kept out: a sound one fails
+/// one in five hundred.
+const FAILING: u8 = 40;
+
+/// An upstream whose tasks run this much longer than at the median one is kept out for tasks
+/// that would be late there. The kinds of upstream differ by less.
+const SLOW: f64 = 1.8;
+
+/// At most one upstream in three is kept out: more would lose more room than faults do.
+const EJECTED: usize = 3;
+
+/// A task is tried on an upstream that is kept out once in this time and entry.
+const PROBE: Duration = Duration::from_millis(700);
+
+/// What running away from the data's rack costs at the users' sites.
+const FAR: f64 = 1.5;
+
+/// How much a full upstream counts as slower than an empty one: leaves room on each, so
+/// that entries that place at the same time seldom meet.
+const FULL: f64 = 0.3;
+
+/// The spread by chance among equals, for the same reason.
+const CHANCE: f64 = 0.1;
+
+impl Scheduler {
+    /// Places waiting tasks, the jobs that have to start first before others.
+    pub(super) fn place(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        if self.queue.is_empty() {
+            return;
+        }
+        let mut orders: BTreeMap<Process, Vec<Order>> = BTreeMap::new();
+        let numbers: Vec<u64> = self.queue.iter().map(|(_, number)| *number).collect();
+        let mut behind = 0;
+        for number in numbers {
+            let Some(mut work) = self.works.remove(&number) else {
+                continue;
+            };
+            let all = self.place_work(&mut work, now, &mut orders, actions);
+            if !work.has_waiting() {
+                self.queue.remove(&(work.latest(), number));
+            }
+            self.works.insert(number, work);
+            if !all {
+                behind += 1;
+                if behind > BEHIND {
+                    break;
+                }
+            }
+        }
+        self.send_orders(orders, actions);
+    }
+
+    /// Whether all tasks that wait found room.
+    fn place_work(
+        &mut self,
+        work: &mut Work,
+        now: Duration,
+        orders: &mut BTreeMap<Process, Vec<Order>>,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        let waiting = work.waiting(now);
+        let asked = waiting.len();
+        let mut starts: BTreeMap<Process, Vec<Start>> = BTreeMap::new();
+        for (stage, index) in waiting {
+            let Some(process) = self.choose(work, stage, index, now) else {
+                continue;
+            };
+            let demand = work.job.stages[stage].demand;
+            if let Some(agent) = self.agents.get_mut(&process) {
+                agent.order(demand);
+                agent.placed += 1;
+                if agent.is_ejected {
+                    agent.probed = now;
+                }
+            }
+            let task = &mut work.tasks[stage][index];
+            task.phase = Phase::Placed(process.clone(), now);
+            starts.entry(process).or_default().push(Start {
+                stage: u32::try_from(stage).unwrap_or(u32::MAX),
+                index: u32::try_from(index).unwrap_or(u32::MAX),
+                attempt: task.attempt,
+                demand,
+                expected: work.expected[stage],
+            });
+        }
+        let placed: usize = starts.values().map(Vec::len).sum();
+        if placed > 0 {
+            work.is_started = true;
+            actions.push(Action::Tell(self.placed_line(work, asked, &starts, now)));
+        }
+        for (process, tasks) in starts {
+            orders.entry(process).or_default().push(Order {
+                number: work.number,
+                job: work.job.id.clone(),
+                request: work.job.request.clone(),
+                spec: work.job.spec.clone(),
+                tasks,
+            });
+        }
+        placed == asked
+    }
+
+    fn placed_line(
+        &self,
+        work: &Work,
+        asked: usize,
+        starts: &BTreeMap<Process, Vec<Start>>,
+        now: Duration,
+    ) -> crate::Decision {
+        let places: Vec<String> = starts
+            .iter()
+            .map(|(process, tasks)| {
+                let agent = self.agents.get(process);
+                let (free, age) = agent.map_or((0, 0), |agent| {
+                    let age = now.saturating_sub(agent.heard);
+                    (agent.free().cpu, age.as_millis())
+                });
+                format!("{process}:{}/free={free}/age_ms={age}", tasks.len())
+            })
+            .collect();
+        told("placed", work, now)
+            .with("asked", asked)
+            .with("at", places.join(","))
+    }
+
+    /// The best agent for a task: the one where it should end first.
+    fn choose(
+        &mut self,
+        work: &Work,
+        stage: usize,
+        index: usize,
+        now: Duration,
+    ) -> Option<Process> {
+        let wanted = &work.job.stages[stage];
+        let task = &work.tasks[stage][index];
+        let median = self.median_pace();
+        let agents = self.agents.iter();
+        let fit = agents.filter(|(process, agent)| {
+            agent.is_open(now)
+                && agent.serves(&work.class.service)
+                && wanted.demand.fits(&agent.free())
+                && wanted
+                    .label
+                    .as_ref()
+                    .is_none_or(|label| agent.has_label(label))
+                && has_spread(work, stage, wanted, process)
+        });
+        let costs = fit.filter_map(|(process, agent)| {
+            let pace = f64::from(agent.load.pace.max(1)) / median;
+            let expected = work.expected[stage].mul_f64(pace);
+            if agent.is_ejected && now < agent.probed + PROBE {
+                return None;
+            }
+            let would_be_late = now + expected > work.due;
+            if pace > SLOW && would_be_late && now < work.latest() + work.chain {
+                return None;
+            }
+            let avoided = task.avoid.contains(process);
+            Some((avoided, cost(wanted, agent, pace), process))
+        });
+        let best = costs.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        best.map(|(_, _, process)| process.clone())
+    }
+
+    /// The median pace of the upstreams; 1 hundredth at least.
+    pub(super) fn median_pace(&self) -> f64 {
+        let mut paces: Vec<u16> = self
+            .agents
+            .values()
+            .filter(|agent| agent.is_linked && agent.load.pace > 0)
+            .map(|agent| agent.load.pace)
+            .collect();
+        paces.sort_unstable();
+        f64::from(paces.get(paces.len() / 2).copied().unwrap_or(100).max(1))
+    }
+
+    /// Keeps out the upstreams that fail most, up to a bound.
+    pub(super) fn judge(&mut self) {
+        let bound = self.agents.len() / EJECTED;
+        let mut failing: Vec<(u8, Process)> = self
+            .agents
+            .iter()
+            .filter(|(_, agent)| agent.load.failing >= FAILING)
+            .map(|(process, agent)| (agent.load.failing, process.clone()))
+            .collect();
+        failing.sort_by(|a, b| b.cmp(a));
+        failing.truncate(bound);
+        for (process, agent) in &mut self.agents {
+            agent.is_ejected = failing.iter().any(|(_, other)| other == process);
+        }
+    }
+}
+
+/// Whether the stage may have one more task on the agent.
+fn has_spread(work: &Work, stage: usize, wanted: &Stage, process: &Process) -> bool {
+    let Some(most) = wanted.spread else {
+        return true;
+    };
+    let tasks = work.tasks[stage].iter();
+    let there = tasks.filter(|task| task.agent() == Some(process));
+    there.count() < most as usize
+}
+
+/// How long a task takes there in terms of the median upstream, and a little for being full.
+fn cost(wanted: &Stage, agent: &Agent, pace: f64) -> f64 {
+    let is_near = wanted
+        .rack
+        .as_ref()
+        .is_none_or(|rack| agent.has_label(rack));
+    let far = if is_near { 1.0 } else { FAR };
+    let free = share(&agent.free(), &agent.capacity());
+    let failing = f64::from(agent.load.failing) / 100.0;
+    let chance = rand::random_range(0.0..CHANCE);
+    pace * far * (1.0 + FULL * (1.0 - free) + chance) + failing
+}
+
+fn share(free: &Demand, capacity: &Demand) -> f64 {
+    free.cpu as f64 / capacity.cpu.max(1) as f64
+}
--- /dev/null
+++ b/crates/cassiarock-transient/src/scheduler/work.rs
@@ -0,0 +1,214 @@
+//! A job in hand.
+
+use crate::message::Attempt;
+use crate::{Class, Job};
+use cassiarock_id::Process;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Work is late up to this many times its objective; after that it is worth nothing to its
+/// caller.
+const LATE: u32 = 3;
+
+/// Where a task stands.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) enum Phase {
+    /// It can be placed from this time on.
+    Waiting(Duration),
+    /// It is at an agent since then.
+    Placed(Process, Duration),
+    /// It is being stopped there, to be placed again.
+    Moving(Process, Duration),
+    /// It is done.
+    Done,
+}
+
+/// One task.
+#[derive(Clone, Debug)]
+pub(super) struct Task {
+    pub(super) phase: Phase,
+    /// The number of the present attempt, or of the next one if it waits.
+    pub(super) attempt: u32,
+    pub(super) failures: u32,
+    /// Where it has failed or was not taken: the last resort for its next attempt.
+    pub(super) avoid: Vec<Process>,
+    /// How often it was moved away from an upstream that kept it too long.
+    pub(super) moves: u32,
+}
+
+impl Task {
+    const fn new() -> Self {
+        Self {
+            phase: Phase::Waiting(Duration::ZERO),
+            attempt: 1,
+            failures: 0,
+            avoid: Vec::new(),
+            moves: 0,
+        }
+    }
+
+    /// The agent that has it.
+    pub(super) const fn agent(&self) -> Option<&Process> {
+        match &self.phase {
+            Phase::Placed(agent, _) | Phase::Moving(agent, _) => Some(agent),
+            Phase::Waiting(_) | Phase::Done => None,
+        }
+    }
+}
+
+/// A job in hand.
+#[derive(Clone, Debug)]
+pub(super) struct Work {
+    pub(super) number: u64,
+    pub(super) job: Job,
+    pub(super) class: Arc<Class>,
+    pub(super) arrived: Duration,
+    /// Up to when it is on time.
+    pub(super) due: Duration,
+    /// Up to when an answer is worth anything.
+    pub(super) limit: Duration,
+    /// When its caller leaves.
+    pub(super) leaves: Duration,
+    /// The longest chain of its work as learned.
+    pub(super) chain: Duration,
+    /// How long a task of each stage should run.
+    pub(super) expected: Vec<Duration>,
+    /// Its tasks by stage.
+    pub(super) tasks: Vec<Vec<Task>>,
+    /// Whether any task may have started.
+    pub(super) is_started: bool,
+    /// How many tasks are not done.
+    pub(super) left: u32,
+    pub(super) retries: u32,
+}
+
+impl Work {
+    /// `ratio` is how long tasks of the route run, in terms of their callers' estimates.
+    pub(super) fn new(
+        number: u64,
+        job: Job,
+        class: Arc<Class>,
+        patience: Duration,
+        ratio: f64,
+        now: Duration,
+    ) -> Self {
+        let chain = job.chain().mul_f64(ratio);
+        let objective = chain.mul_f64(class.slack) + class.target;
+        let tasks = |stage: &crate::Stage| vec![Task::new(); stage.tasks as usize];
+        Self {
+            number,
+            arrived: now,
+            due: now + objective.min(patience),
+            limit: now + (objective * LATE).min(patience),
+            leaves: now + patience,
+            chain,
+            expected: job
+                .stages
+                .iter()
+                .map(|stage| stage.estimate.mul_f64(ratio))
+                .collect(),
+            tasks: job.stages.iter().map(tasks).collect(),
+            is_started: false,
+            left: job.tasks(),
+            retries: 0,
+            job,
+            class,
+        }
+    }
+
+    /// The latest time to start at, if the job is to be on time: the order of the queue.
+    pub(super) fn latest(&self) -> Duration {
+        self.due.saturating_sub(self.chain)
+    }
+
+    /// Whether it cannot be done in time any more. What runs already is left to end: its
+    /// caller gets the answer, if late, and nothing more is spent on it.
+    pub(super) fn is_hopeless(&self, now: Duration) -> bool {
+        if now >= self.leaves {
+            return true;
+        }
+        let needs = if self.is_started {
+            Duration::ZERO
+        } else {
+            self.chain
+        };
+        self.has_waiting() && now + needs >= self.limit
+    }
+
+    /// Whether all stages that `stage` waits for are done.
+    pub(super) fn is_open(&self, stage: usize) -> bool {
+        let is_done = |at: &usize| {
+            let tasks = self.tasks.get(*at);
+            tasks.is_some_and(|tasks| tasks.iter().all(|task| task.phase == Phase::Done))
+        };
+        self.job.stages[stage].after.iter().all(is_done)
+    }
+
+    /// The tasks that can be placed now.
+    pub(super) fn waiting(&self, now: Duration) -> Vec<(usize, usize)> {
+        let mut waiting = Vec::new();
+        for stage in 0..self.tasks.len() {
+            if !self.is_open(stage) {
+                continue;
+            }
+            let tasks = self.tasks[stage].iter().enumerate();
+            let ready =
+                tasks.filter(|(_, task)| matches!(task.phase, Phase::Waiting(at) if at <= now));
+            waiting.extend(ready.map(|(index, _)| (stage, index)));
+        }
+        waiting
+    }
+
+    /// Whether any task waits, now or later.
+    pub(super) fn has_waiting(&self) -> bool {
+        let mut tasks = self.tasks.iter().flatten();
+        tasks.any(|task| matches!(task.phase, Phase::Waiting(_)))
+    }
+
+    /// The processor time, in core-milliseconds, of the tasks that wait.
+    pub(super) fn waiting_work(&self) -> f64 {
+        let stages = self.job.stages.iter().zip(&self.tasks).zip(&self.expected);
+        stages
+            .map(|((stage, tasks), expected)| {
+                let waiting = tasks.iter();
+                let waiting = waiting.filter(|task| matches!(task.phase, Phase::Waiting(_)));
+                waiting.count() as f64 * work(stage.demand.cpu, *expected)
+            })
+            .sum()
+    }
+
+    /// The task that `attempt` is an attempt at, if it is the present one and at `agent`.
+    pub(super) fn present(&mut self, agent: &Process, attempt: &Attempt) -> Option<&mut Task> {
+        let stage = self.tasks.get_mut(attempt.stage as usize)?;
+        let task = stage.get_mut(attempt.index as usize)?;
+        let is_present = task.attempt == attempt.attempt && task.agent() == Some(agent);
+        is_present.then_some(task)
+    }
+
+    /// The attempts that are at agents, by agent.
+    pub(super) fn placed(&self) -> Vec<(Process, Attempt)> {
+        let mut placed = Vec::new();
+        for (stage, tasks) in self.tasks.iter().enumerate() {
+            for (index, task) in tasks.iter().enumerate() {
+                if let Some(agent) = task.agent() {
+                    placed.push((agent.clone(), self.attempt(stage, index, task.attempt)));
+                }
+            }
+        }
+        placed
+    }
+
+    pub(super) fn attempt(&self, stage: usize, index: usize, attempt: u32) -> Attempt {
+        Attempt {
+            number: self.number,
+            stage: u32::try_from(stage).unwrap_or(u32::MAX),
+            index: u32::try_from(index).unwrap_or(u32::MAX),
+            attempt,
+        }
+    }
+}
+
+/// Core-milliseconds of a task with this many thousandths of a core.
+pub(super) fn work(cpu: u64, expected: Duration) -> f64 {
+    cpu as f64 / 1000.0 * expected.as_secs_f64() * 1000.0
+}
--- a/crates/cassiarock-wire/src/frame.rs
+++ b/crates/cassiarock-wire/src/frame.rs
@@ -9,11 +9,12 @@
 use cassiarock_policy::admit::Usage;
 use cassiarock_policy::note;
 use cassiarock_rule::State;
+use cassiarock_transient::Message;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
 /// A message between two processes.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Frame {
     /// Opens a link.
     Hello(Hello),
@@ -75,6 +76,8 @@
     HandOver(HandOver),
     /// The other one's receipt.
     TakenOver(TakenOver),
+    /// About jobs that are answered at their end and stored nowhere.
+    Transient(Message),
 }
 
 impl Frame {
@@ -110,6 +113,7 @@
             Self::News(_) => "news",
             Self::HandOver(_) => "hand_over",
             Self::TakenOver(_) => "taken_over",
+            Self::Transient(_) => "transient",
         }
     }
 }
--- a/src/bin/cassiarockd/command.rs
+++ b/src/bin/cassiarockd/command.rs
@@ -1,7 +1,7 @@
 //! The command line.
 
 use bpaf::{Doc, OptionParser, Parser, construct, long};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 /// Which process to run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -20,7 +20,25 @@
     /// Whether to check the settings and end.
     pub check: bool,
     /// The settings file.
-    pub settings: PathBuf,
+    pub source: Source,
+}
+
+/// Where the settings come from.
+#[derive(Clone, Debug)]
+pub enum Source {
+    /// A file of our own: JSON with comments.
+    Own(PathBuf),
+    /// The file that the users' platform writes for each process, in its own format.
+    Platform(PathBuf),
+}
+
+impl Source {
+    /// The file.
+    pub fn file(&self) -> &Path {
+        match self {
+            Self::Own(file) | Self::Platform(file) => file,
+        }
+    }
 }
 
 /// The parser of the whole command line.
@@ -32,6 +50,7 @@
         &[
             "cassiarockd entry --settings settings/andes/entry.jsonc",
             "cassiarockd entry --settings settings/andes/entry.jsonc --check",
+            "cassiarockd entry --platform /etc/cassiarock/boot.toml",
         ],
     );
     let agent = role(
@@ -41,6 +60,7 @@
         &[
             "cassiarockd agent --settings settings/andes/agent.jsonc",
             "cassiarockd agent --settings settings/iceland/agent.jsonc --check",
+            "cassiarockd agent --platform /etc/cassiarock/boot.toml",
         ],
     );
     construct!([entry, agent])
@@ -66,13 +86,19 @@
     let settings = long("settings")
         .short('s')
         .help("Settings file, JSON with comments")
-        .argument::<PathBuf>("FILE");
+        .argument::<PathBuf>("FILE")
+        .map(Source::Own);
+    let platform = long("platform")
+        .help("Settings file of the users' platform, in the platform's format")
+        .argument::<PathBuf>("FILE")
+        .map(Source::Platform);
+    let source = construct!([settings, platform]);
     let check = long("check").help("Check the settings and end").switch();
     let role = bpaf::pure(role);
     construct!(Command {
         role,
         check,
-        settings
+        source
     })
     .to_options()
     .descr(about)
--- a/src/bin/cassiarockd/logging.rs
+++ b/src/bin/cassiarockd/logging.rs
@@ -1,10 +1,12 @@
-//! The set-up of logging: lines on stderr, as text or as JSON; no files, since the VMs
-//! keep nothing.
+//! The set-up of logging: lines on stderr, as text or as JSON, or on the platform lines of
+//! JSON on standard output; no files, since the VMs keep nothing.
 
+use cassiarock_process::Outlet;
 use cassiarock_settings::Format;
+use flexi_logger::writers::LogWriter;
 use flexi_logger::{DeferredNow, FlexiLoggerError, Logger, LoggerHandle, WriteMode, json_format};
-use log::Record;
 use log::kv::{Error, Key, Value, VisitSource};
+use log::{Level, LevelFilter, Record};
 use std::io::{self, Write};
 use std::time::Duration;
 
@@ -73,3 +75,66 @@
     }
     format!("{value:?}")
 }
+
+/// Starts logging to standard output, one JSON object a line. No line makes the process wait:
+/// under load or before a reader that has stopped, lines are left out and counted.
+pub fn start_bounded() -> Result<LoggerHandle, FlexiLoggerError> {
+    let outlet = Outlet::new(io::stdout());
+    Logger::try_with_env_or_str(LEVEL)?
+        .log_to_writer(Box::new(Bounded { outlet }))
+        .start()
+}
+
+/// Hands lines over to an outlet.
+struct Bounded {
+    outlet: Outlet,
+}
+
+impl LogWriter for Bounded {
+    fn write(&self, now: &mut DeferredNow, record: &Record<'_>) -> io::Result<()> {
+        let at = now.format_rfc3339();
+        for omission in self.outlet.omissions() {
+            let line = serde_json::json!({
+                "at": at, "level": "WARN", "what": "lines left out",
+                "kind": omission.kind, "lines": omission.lines,
+            });
+            self.outlet.push("lines left out", true, line.to_string());
+        }
+        let what = record.args().to_string();
+        let mut line = serde_json::Map::new();
+        line.insert("at".to_owned(), at.into());
+        line.insert("level".to_owned(), record.level().as_str().into());
+        line.insert("what".to_owned(), what.as_str().into());
+        let visited = record.key_values().visit(&mut Fields { line: &mut line });
+        visited.map_err(io::Error::other)?;
+        let kind = what.split(':').next().unwrap_or_default();
+        let text = serde_json::Value::Object(line).to_string();
+        self.outlet.push(kind, record.level() <= Level::Warn, text);
+        Ok(())
+    }
+
+    fn flush(&self) -> io::Result<()> {
+        Ok(())
+    }
+
+    fn max_log_level(&self) -> LevelFilter {
+        LevelFilter::Trace
+    }
+}
+
+/// Puts pairs into an object.
+struct Fields<'a> {
+    line: &'a mut serde_json::Map<String, serde_json::Value>,
+}
+
+impl<'kvs> VisitSource<'kvs> for Fields<'_> {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        let value = match (value.to_i64(), value.to_bool()) {
+            (Some(number), _) => number.into(),
+            (None, Some(flag)) => flag.into(),
+            (None, None) => value.to_string().into(),
+        };
+        self.line.insert(key.to_string(), value);
+        Ok(())
+    }
+}
--- a/src/bin/cassiarockd/program.rs
+++ b/src/bin/cassiarockd/program.rs
@@ -1,12 +1,14 @@
 //! The whole program, from arguments to exit code.
 
-use crate::command::{Command, Role, options};
+use crate::command::{Command, Role, Source, options};
 use crate::logging;
 use crate::signal::Signals;
 use bpaf::{Args, ParseFailure};
 use cassiarock_process::{Report, Stage};
-use cassiarock_settings::{Agent, Entry, Format};
+use cassiarock_settings::{Agent, Entry};
+use std::path::PathBuf;
 use std::process::ExitCode;
+use tokio::runtime::Builder;
 use tokio::sync::watch;
 
 /// Help is wrapped at this many columns.
@@ -28,6 +30,8 @@
 enum Settings {
     Entry(Entry),
     Agent(Agent),
+    /// Of a role on the users' platform.
+    Platform(Role, PathBuf, cassiarock_adapter::Settings),
 }
 
 /// Runs the daemon with the process's arguments.
@@ -44,7 +48,7 @@
         }
     };
     if command.check {
-        println!("{}: ok", command.settings.display());
+        println!("{}: ok", command.source.file().display());
         return ExitCode::SUCCESS;
     }
     match run(settings) {
@@ -64,19 +68,31 @@
     }
 }
 
-fn load(command: &Command) -> Result<Settings, cassiarock_settings::Error> {
-    match command.role {
-        Role::Entry => Entry::load(&command.settings).map(Settings::Entry),
-        Role::Agent => Agent::load(&command.settings).map(Settings::Agent),
-    }
+fn load(command: &Command) -> Result<Settings, Fault> {
+    Ok(match (&command.source, command.role) {
+        (Source::Own(file), Role::Entry) => Settings::Entry(Entry::load(file)?),
+        (Source::Own(file), Role::Agent) => Settings::Agent(Agent::load(file)?),
+        (Source::Platform(file), role) => {
+            let settings = cassiarock_adapter::Settings::load(file)?;
+            Settings::Platform(role, file.clone(), settings)
+        }
+    })
 }
 
 fn run(settings: Settings) -> Result<Report, Fault> {
-    let _logging = logging::start(format(&settings))?;
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .build()?;
-    runtime.block_on(serve(settings))
+    let (_logging, mut runtime) = match &settings {
+        Settings::Entry(entry) => (
+            logging::start(entry.log_format)?,
+            Builder::new_multi_thread(),
+        ),
+        Settings::Agent(agent) => (
+            logging::start(agent.log_format)?,
+            Builder::new_multi_thread(),
+        ),
+        // A process there has a fraction of one core: threads would only take turns.
+        Settings::Platform(..) => (logging::start_bounded()?, Builder::new_current_thread()),
+    };
+    runtime.enable_all().build()?.block_on(serve(settings))
 }
 
 async fn serve(settings: Settings) -> Result<Report, Fault> {
@@ -85,6 +101,7 @@
     match settings {
         Settings::Entry(settings) => entry(settings, asked).await,
         Settings::Agent(settings) => agent(settings, asked).await,
+        Settings::Platform(role, file, settings) => platform(role, file, settings, asked).await,
     }
 }
 
@@ -101,11 +118,17 @@
     Ok(running.until(asked).await)
 }
 
-const fn format(settings: &Settings) -> Format {
-    match settings {
-        Settings::Entry(settings) => settings.log_format,
-        Settings::Agent(settings) => settings.log_format,
-    }
+async fn platform(
+    role: Role,
+    file: PathBuf,
+    settings: cassiarock_adapter::Settings,
+    asked: watch::Receiver<Stage>,
+) -> Result<Report, Fault> {
+    log::info!(process = &*settings.name, role:? = role, version = env!("CARGO_PKG_VERSION"), data_centre = &*settings.data_centre, peers:% = settings.peers, store:% = settings.store; "started");
+    Ok(match role {
+        Role::Entry => cassiarock_dispatch::entry(file, settings, asked).await?,
+        Role::Agent => cassiarock_dispatch::agent(file, settings, asked).await?,
+    })
 }
 
 fn end(report: Report) -> ExitCode {
