--- a/src/bin/cassiarockd/command.rs
+++ b/src/bin/cassiarockd/command.rs
@@ -50,7 +50,7 @@
         &[
             "cassiarockd entry --settings settings/andes/entry.jsonc",
             "cassiarockd entry --settings settings/andes/entry.jsonc --check",
-            "cassiarockd entry --platform /etc/cassiarock/boot.toml",
+            "cassiarockd entry --platform settings/platform/entry.toml",
         ],
     );
     let agent = role(
@@ -60,7 +60,7 @@
         &[
             "cassiarockd agent --settings settings/andes/agent.jsonc",
             "cassiarockd agent --settings settings/iceland/agent.jsonc --check",
-            "cassiarockd agent --platform /etc/cassiarock/boot.toml",
+            "cassiarockd agent --platform settings/platform/agent.toml",
         ],
     );
     construct!([entry, agent])
