Place jobs that can be on time before late ones, refuse at the latest start

Ruled out: processor time (entries 0.028 cores of 0.25); the estimate of the wait alone, as it counted an even part of all room, not the rate at which this entry places.

--- a/crates/cassiarock-transient/src/scheduler/admit.rs
+++ b/crates/cassiarock-transient/src/scheduler/admit.rs
@@ -9,10 +9,9 @@
 use crate::{Decision, Demand};
 use std::time::Duration;
 
-/// A job is taken in if it should end within this share of the time between its objective
-/// and the point at which its answer is worth nothing. Estimates are off by 40%, so a bound at
-/// the objective itself refuses much that would be on time.
-const GRACE: f64 = 0.35;
+/// The rate at which work was placed of late is a bound for the rate to come from this share
+/// of an even part of the whole system on: at the onset of a burst little has been placed.
+const LEAST: f64 = 0.5;
 
 /// The first pause that a refused caller is asked to make, and the most that chance adds to
 /// it: callers that were refused together should not come back together.
@@ -51,10 +50,10 @@
             let capacity: u64 = open.iter().map(|agent| agent.capacity().cpu).sum();
             let entries = open.iter().map(|agent| agent.load.entries).max();
             let share = capacity as f64 / 1000.0 / f64::from(entries.unwrap_or(1).max(1));
-            Duration::from_secs_f64(before.1 / share.max(1.0) / 1000.0)
+            let rate = self.rate.at(now).max(share * LEAST).max(1.0);
+            Duration::from_secs_f64(before.1 / rate / 1000.0)
         };
         let end = now + wait + work.chain;
-        let last = work.due + work.limit.saturating_sub(work.due).mul_f64(GRACE);
         let line = |what| {
             line(what)
                 .with("wait_ms", wait.as_millis())
@@ -63,7 +62,7 @@
                 .with("free_cpu", room)
                 .with("version", work.class.version)
         };
-        if end > last {
+        if end > work.due {
             let answer = refused(AGAIN + wait, true);
             return Err((answer, line("refused").with("reason", "queue")));
         }
@@ -73,9 +72,8 @@
     /// The processor room that waiting tasks want that go before `work`, and their work in
     /// core-milliseconds.
     fn work_before(&self, work: &Work) -> (u64, f64) {
-        let key = (work.latest(), work.number);
-        let before = self.queue.range(..key);
-        let before = before.filter_map(|(_, number)| self.works.get(number));
+        let before = self.queue.range(..work.place());
+        let before = before.filter_map(|(.., number)| self.works.get(number));
         before.fold((0, 0.0), |(room, work), next| {
             (room + waiting_cpu(next), work + next.waiting_work())
         })
--- a/crates/cassiarock-transient/src/scheduler/mod.rs
+++ b/crates/cassiarock-transient/src/scheduler/mod.rs
@@ -3,6 +3,7 @@
 mod admit;
 mod agent;
 mod place;
+mod rate;
 mod ratio;
 mod settle;
 mod work;
@@ -12,11 +13,12 @@
 use crate::{Class, Decision, Job};
 use agent::Agent;
 use cassiarock_id::Process;
+use rate::Rate;
 use ratio::Ratios;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
-use work::Work;
+use work::{Place, Work};
 
 /// A process that was not run for this long may hold requests whose callers have left and
 /// submitted them elsewhere. It learns of that from its sockets first.
@@ -66,7 +68,8 @@
     agents: BTreeMap<Process, Agent>,
     works: HashMap<u64, Work>,
     /// Jobs with tasks that wait, the one that has to start first at the front.
-    queue: BTreeSet<(Duration, u64)>,
+    queue: BTreeSet<Place>,
+    rate: Rate,
     ratios: Ratios,
     polled: Duration,
     paused: Duration,
@@ -153,7 +156,7 @@
         match self.admit(&work, now) {
             Ok(told) => {
                 actions.push(Action::Tell(told));
-                self.queue.insert((work.latest(), number));
+                self.queue.insert(work.place());
                 self.works.insert(number, work);
                 self.is_stirred = true;
             }
@@ -252,6 +255,7 @@
             self.judge();
             self.reclaim(now, &mut actions);
             self.give_up(now, &mut actions);
+            self.pass_over(now, &mut actions);
             self.shift(now, &mut actions);
             self.heartbeat(now, &mut actions);
             self.is_stirred = true;
@@ -286,7 +290,7 @@
 
     fn remove(&mut self, number: u64) -> Option<Work> {
         let work = self.works.remove(&number)?;
-        self.queue.remove(&(work.latest(), number));
+        self.queue.remove(&work.place());
         for (agent, _) in work.placed() {
             if let Some(agent) = self.agents.get_mut(&agent) {
                 agent.placed = agent.placed.saturating_sub(1);
--- a/crates/cassiarock-transient/src/scheduler/place.rs
+++ b/crates/cassiarock-transient/src/scheduler/place.rs
@@ -1,7 +1,7 @@
 //! Where tasks are placed.
 
 use super::agent::Agent;
-use super::work::{Phase, Work};
+use super::work::{Phase, Work, core_millis};
 use super::{Action, Scheduler, told};
 use crate::message::{Order, Start};
 use crate::{Demand, Stage};
@@ -48,7 +48,7 @@
             return;
         }
         let mut orders: BTreeMap<Process, Vec<Order>> = BTreeMap::new();
-        let numbers: Vec<u64> = self.queue.iter().map(|(_, number)| *number).collect();
+        let numbers: Vec<u64> = self.queue.iter().map(|(.., number)| *number).collect();
         let mut behind = 0;
         for number in numbers {
             let Some(mut work) = self.works.remove(&number) else {
@@ -56,7 +56,7 @@
             };
             let all = self.place_work(&mut work, now, &mut orders, actions);
             if !work.has_waiting() {
-                self.queue.remove(&(work.latest(), number));
+                self.queue.remove(&work.place());
             }
             self.works.insert(number, work);
             if !all {
@@ -91,6 +91,8 @@
                     agent.probed = now;
                 }
             }
+            let expected = work.expected[stage];
+            self.rate.add(core_millis(demand.cpu, expected), now);
             let task = &mut work.tasks[stage][index];
             task.phase = Phase::Placed(process.clone(), now);
             starts.entry(process).or_default().push(Start {
@@ -98,7 +100,7 @@
                 index: u32::try_from(index).unwrap_or(u32::MAX),
                 attempt: task.attempt,
                 demand,
-                expected: work.expected[stage],
+                expected,
             });
         }
         let placed: usize = starts.values().map(Vec::len).sum();
--- a/crates/cassiarock-transient/src/scheduler/settle.rs
+++ b/crates/cassiarock-transient/src/scheduler/settle.rs
@@ -1,7 +1,7 @@
 //! What ends of attempts, lost agents and passed time make of the jobs.
 
 use super::admit::refused;
-use super::work::{Phase, Task, Work};
+use super::work::{Phase, Place, Task, Work};
 use super::{Action, Answer, Scheduler, told};
 use crate::Decision;
 use crate::message::{Attempt, End, Ending, Message};
@@ -142,7 +142,7 @@
 
     fn enqueue(&mut self, number: u64) {
         if let Some(work) = self.works.get(&number) {
-            self.queue.insert((work.latest(), number));
+            self.queue.insert(work.place());
             self.is_stirred = true;
         }
     }
@@ -255,14 +255,50 @@
                 self.fail(number, Answer::GivenUp, "out of time", now, actions);
                 continue;
             }
-            if let Some(work) = self.remove(number) {
-                let line = told("refused", &work, now).with("reason", "waited too long");
-                actions.push(Action::Tell(line.failed()));
-                actions.push(Action::Answer(number, refused(AGAIN, true)));
+            self.refuse(number, "waited too long", now, actions);
+        }
+    }
+
+    /// Sees to the jobs whose latest start has passed while they waited. There is more work
+    /// than room: one that has not run is refused at once if others wait that can still be on
+    /// time, and comes after them otherwise.
+    pub(super) fn pass_over(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        let first = self.queue.iter();
+        let passed: Vec<Place> = first
+            .take_while(|(is_late, latest, _)| !is_late && *latest < now)
+            .copied()
+            .collect();
+        let others = self.queue.len() - passed.len();
+        for place in passed {
+            self.queue.remove(&place);
+            let (.., number) = place;
+            let Some(work) = self.works.get_mut(&number) else {
+                continue;
+            };
+            work.is_late = true;
+            self.queue.insert(work.place());
+            if others > 0 && !work.may_have_run() {
+                self.refuse(number, "overload", now, actions);
             }
         }
     }
 
+    /// Refuses a job of which nothing has run.
+    fn refuse(
+        &mut self,
+        number: u64,
+        reason: &'static str,
+        now: Duration,
+        actions: &mut Vec<Action>,
+    ) {
+        let queue = self.queue.len();
+        if let Some(work) = self.remove(number) {
+            let line = told("refused", &work, now).with("reason", reason);
+            actions.push(Action::Tell(line.with("queue", queue).failed()));
+            actions.push(Action::Answer(number, refused(AGAIN, true)));
+        }
+    }
+
     /// Moves tasks away from upstreams that keep them too long: the upstream has become slow,
     /// or what was started there stands still while its reports are good.
     pub(super) fn shift(&mut self, now: Duration, actions: &mut Vec<Action>) {
--- a/crates/cassiarock-transient/src/scheduler/work.rs
+++ b/crates/cassiarock-transient/src/scheduler/work.rs
@@ -10,6 +10,9 @@
 /// caller.
 const LATE: u32 = 3;
 
+/// A place in the queue.
+pub(super) type Place = (bool, Duration, u64);
+
 /// Where a task stands.
 #[derive(Clone, Debug, PartialEq)]
 pub(super) enum Phase {
@@ -73,6 +76,8 @@
     pub(super) chain: Duration,
     /// How long a task of each stage should run.
     pub(super) expected: Vec<Duration>,
+    /// Whether it was not placed whole by its latest start.
+    pub(super) is_late: bool,
     /// Its tasks by stage.
     pub(super) tasks: Vec<Vec<Task>>,
     /// Whether an attempt at any task has run, or may have.
@@ -108,6 +113,7 @@
                 .map(|stage| stage.estimate.mul_f64(ratio))
                 .collect(),
             tasks: job.stages.iter().map(tasks).collect(),
+            is_late: false,
             has_run: false,
             left: job.tasks(),
             retries: 0,
@@ -116,11 +122,20 @@
         }
     }
 
-    /// The latest time to start at, if the job is to be on time: the order of the queue.
+    /// The latest time to start at, if the job is to be on time.
     pub(super) fn latest(&self) -> Duration {
         self.due.saturating_sub(self.chain)
     }
 
+    /// Its place in the queue: jobs that will be late in any case come after all others.
+    ///
+    /// By their latest start alone, the jobs that are late already would go before those that
+    /// can still be on time. Under lasting overload every job then waits until it is late:
+    /// of 300 jobs a second 5 were on time.
+    pub(super) fn place(&self) -> Place {
+        (self.is_late, self.latest(), self.number)
+    }
+
     /// Whether it cannot be done in time any more. What runs already is left to end: its
     /// caller gets the answer, if late, and nothing more is spent on it.
     pub(super) fn is_hopeless(&self, now: Duration) -> bool {
@@ -179,7 +194,7 @@
             .map(|((stage, tasks), expected)| {
                 let waiting = tasks.iter();
                 let waiting = waiting.filter(|task| matches!(task.phase, Phase::Waiting(_)));
-                waiting.count() as f64 * work(stage.demand.cpu, *expected)
+                waiting.count() as f64 * core_millis(stage.demand.cpu, *expected)
             })
             .sum()
     }
@@ -216,6 +231,6 @@
 }
 
 /// Core-milliseconds of a task with this many thousandths of a core.
-pub(super) fn work(cpu: u64, expected: Duration) -> f64 {
+pub(super) fn core_millis(cpu: u64, expected: Duration) -> f64 {
     cpu as f64 / 1000.0 * expected.as_secs_f64() * 1000.0
 }
