Speak to the platform's store through one client, and give its stand-in the same protocol

Cause: our own client of the log spoke a protocol that we had made up; the platform's client stood beside it. Change: cassiarock-platform's Log lies on the adapter's Store (topic, conditions, 410); the stand-in speaks log-append, log-read and log-newest with conditions, producers' sequences, keyed topics, expiry, 429, 503, silence, lost and late answers, and doors with faults of their own. One check is worded anew, as strict: a log that is down is known by the status 503 of its call, which is now carried in Error::Call. The platform says of 429 and 503 that nothing was done, so they count as without effect.

--- a/crates/cassiarock-dispatch/src/follow.rs
+++ b/crates/cassiarock-dispatch/src/follow.rs
@@ -9,6 +9,9 @@
 /// a system of three entries and eleven agents at a time.
 const WAIT: Duration = Duration::from_secs(20);
 
+/// The KB asked for in one read: a configuration of hundreds of routes is some 100 KB.
+const READ: u32 = 1024;
+
 /// Gives each record of the topic's newest ones and all later ones to `take`, for ever: its
 /// key and its value. The store may forget the history and be away; then the newest records
 /// are read anew.
@@ -57,7 +60,7 @@
         }
         return Ok(Some(end));
     };
-    match store.read(of, next, WAIT).await {
+    match store.read(of, next, WAIT, READ).await {
         // A log that ends before what was read is another one.
         Ok(batch) if batch.end < next || batch.earliest > next => Ok(None),
         Ok(batch) => {
--- a/crates/cassiarock-operator/src/run/platform.rs
+++ b/crates/cassiarock-operator/src/run/platform.rs
@@ -65,7 +65,7 @@
                 return Err(Error::Refused { step: STEP, reason });
             }
         }
-        let edges = self.log.read(u64::MAX, Duration::ZERO).await;
+        let edges = self.log.edges().await;
         let end = edges.map_err(|error| failed(STEP, &self.peer, error))?.end;
         let body = Body::Restore {
             end,
--- a/crates/cassiarock-platform/src/reader.rs
+++ b/crates/cassiarock-platform/src/reader.rs
@@ -106,7 +106,7 @@
     /// Finds the place to begin at: the start of the log, or a window at its end that holds a
     /// usable snapshot, or the widest window there is.
     async fn open(&mut self) -> Result<(), Error> {
-        let edges = self.log.read(u64::MAX, Duration::ZERO).await?;
+        let edges = self.log.edges().await?;
         let mut window = WINDOW;
         loop {
             let first = edges.end.saturating_sub(window).max(edges.earliest);
--- a/crates/cassiarock-platform/tests/publish.rs
+++ b/crates/cassiarock-platform/tests/publish.rs
@@ -130,7 +130,7 @@
     stand.with_fault(|fault| fault.down = true);
     let answer = publisher(&stand, "ana").edit(0, insert("a")).await;
     assert!(
-        matches!(answer, Err(Error::Status { status: 503, .. })),
+        matches!(&answer, Err(Error::Call(error)) if error.status() == Some(503)),
         "{answer:?}"
     );
     assert_eq!(stand.end(), 0);
--- a/crates/cassiarock-test-support/src/log/mod.rs
+++ b/crates/cassiarock-test-support/src/log/mod.rs
@@ -1,15 +1,18 @@
-//! A stand-in for the platform's append-only log, spoken to over HTTP.
+//! A stand-in for the platform's store, spoken to over HTTP: a log of topics.
 //!
-//! `POST /records` appends the body and answers `{"offset": n}`.
-//! `GET /records?from=N&wait_ms=M&limit=L` answers at most `L` bytes of records from offset
-//! `N` on, waiting up to `M` ms for a first one. The headers `log-earliest` and `log-end` give
-//! the offset of the first kept record and the offset that the next append gets; the body is a
-//! sequence of offset (8 bytes, big endian), length (4 bytes, big endian) and payload.
+//! `POST /v1/log-append` adds records, each behind its length, all or nothing, on a condition
+//! (`at`) or in a producer's sequence. `GET /v1/log-read` gives records, waiting for a first
+//! one, and 410 where they have been deleted. `GET /v1/log-newest` gives the newest record of
+//! each key of a topic named `keyed.`, which stays when the history goes.
 
 mod fault;
+mod partition;
 mod server;
 mod stand;
 mod store;
 
 pub use fault::Fault;
-pub use stand::{Handle, Stand};
+pub use stand::{Door, Handle, Stand};
+
+/// The topic that the product's own records lie on; one partition.
+pub const TOPIC: &str = "cassiarock";
--- a/crates/cassiarock-test-support/src/log/stand.rs
+++ b/crates/cassiarock-test-support/src/log/stand.rs
@@ -1,10 +1,12 @@
 //! Starting, steering and stopping the stand-in.
 
-use super::{Fault, server};
+use super::partition::{Condition, Outcome, Partition};
+use super::server::Entrance;
+use super::{Fault, TOPIC, server};
 use std::net::SocketAddr;
 use std::ops::Deref;
-use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex};
 use tokio::net::TcpListener;
 use tokio::sync::oneshot;
 
@@ -13,6 +15,7 @@
 pub struct Handle {
     address: SocketAddr,
     shared: Arc<server::Shared>,
+    entrance: Entrance,
 }
 
 impl Handle {
@@ -30,39 +33,58 @@
 
     /// Changes the faults; calls already waiting keep those they met.
     pub fn with_fault(&self, change: impl FnOnce(&mut Fault)) {
-        change(&mut self.shared.fault());
+        change(&mut self.entrance.fault());
     }
 
     /// Appends without HTTP and regardless of faults; gives the offset.
     pub fn append(&self, bytes: impl Into<Vec<u8>>) -> u64 {
-        self.shared.append(bytes.into())
+        self.put(TOPIC, bytes)
+    }
+
+    /// Appends to any topic as the operator does, without HTTP and regardless of faults.
+    pub fn put(&self, topic: &str, bytes: impl Into<Vec<u8>>) -> u64 {
+        let records = vec![bytes.into()];
+        match self.shared.append(topic, 0, records, &Condition::default()) {
+            Some(Outcome::Done(offset, _)) => offset,
+            _ => self.end(),
+        }
+    }
+
+    /// Drops the history of a topic; the newest record of each key stays.
+    pub fn compact(&self, topic: &str) {
+        self.of(topic, |partition| partition.cut(partition.end()));
+    }
+
+    fn of<T: Default>(&self, topic: &str, work: impl FnOnce(&mut Partition) -> T) -> T {
+        let mut store = self.shared.store();
+        store.partition(topic, 0).map(work).unwrap_or_default()
     }
 
     /// Cuts every record below `before`, as retention does.
     pub fn cut(&self, before: u64) {
-        self.shared.store().cut(before);
+        self.of(TOPIC, |partition| partition.cut(before));
     }
 
     /// The offset of the first kept record.
     #[must_use]
     pub fn earliest(&self) -> u64 {
-        self.shared.store().earliest()
+        self.of(TOPIC, |partition| partition.earliest())
     }
 
     /// The offset that the next append gets.
     #[must_use]
     pub fn end(&self) -> u64 {
-        self.shared.store().end()
+        self.of(TOPIC, |partition| partition.end())
     }
 
     /// All kept records with their offsets.
     #[must_use]
     pub fn records(&self) -> Vec<(u64, Vec<u8>)> {
-        let store = self.shared.store();
-        let kept = store.read(0, usize::MAX);
-        kept.into_iter()
-            .map(|(offset, bytes)| (offset, bytes.to_vec()))
-            .collect()
+        self.of(TOPIC, |partition| {
+            let kept = partition.read(0, usize::MAX).into_iter();
+            kept.map(|(offset, bytes)| (offset, bytes.to_vec()))
+                .collect()
+        })
     }
 
     /// How many appends took effect since the start.
@@ -106,25 +128,64 @@
     /// # Errors
     /// If no port of the loopback address can be opened.
     pub async fn start() -> std::io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let handle = Handle {
-            address: listener.local_addr()?,
-            shared: Arc::new(server::Shared::new()),
-        };
-        let (stop, stopped) = oneshot::channel();
-        let router = server::router(Arc::clone(&handle.shared));
-        tokio::spawn(async move {
-            let serve = axum::serve(listener, router);
-            tokio::select! {
-                _ = serve.into_future() => {}
-                _ = stopped => {}
-            }
-        });
+        let shared = Arc::new(server::Shared::new());
+        let (handle, stop) = open(shared).await?;
         Ok(Self {
             handle,
             _stop: stop,
         })
     }
+
+    /// Another way into the same store, with faults of its own: for a caller that the store
+    /// turns away while it serves the others.
+    ///
+    /// # Errors
+    /// If no port of the loopback address can be opened.
+    pub async fn door(&self) -> std::io::Result<Door> {
+        let (handle, stop) = open(Arc::clone(&self.handle.shared)).await?;
+        Ok(Door {
+            handle,
+            _stop: stop,
+        })
+    }
+}
+
+/// Another way into a stand-in, closed on drop.
+#[derive(Debug)]
+pub struct Door {
+    handle: Handle,
+    _stop: oneshot::Sender<()>,
+}
+
+impl Deref for Door {
+    type Target = Handle;
+
+    fn deref(&self) -> &Handle {
+        &self.handle
+    }
+}
+
+async fn open(shared: Arc<server::Shared>) -> std::io::Result<(Handle, oneshot::Sender<()>)> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let entrance = Entrance {
+        shared: Arc::clone(&shared),
+        faults: Arc::new(Mutex::new(Fault::default())),
+    };
+    let router = server::router(entrance.clone());
+    let handle = Handle {
+        address: listener.local_addr()?,
+        shared,
+        entrance,
+    };
+    let (stop, stopped) = oneshot::channel();
+    tokio::spawn(async move {
+        let serve = axum::serve(listener, router);
+        tokio::select! {
+            _ = serve.into_future() => {}
+            _ = stopped => {}
+        }
+    });
+    Ok((handle, stop))
 }
 
 impl Deref for Stand {
--- a/crates/cassiarock-test-support/src/log/store.rs
+++ b/crates/cassiarock-test-support/src/log/store.rs
@@ -1,55 +1,40 @@
-//! The kept records.
+//! All topics.
 
-use std::collections::VecDeque;
+use super::partition::{Condition, Outcome, Partition};
+use std::collections::HashMap;
 
-/// Records in offset order, of which the oldest can be cut.
+/// Topics are created on first use, at most so many.
+const TOPICS: usize = 100;
+
+/// The beginning of the names of topics that keep the newest record of each key.
+const KEYED: &str = "keyed.";
+
+/// The partitions by topic and number.
 #[derive(Debug, Default)]
 pub struct Store {
-    earliest: u64,
-    records: VecDeque<Vec<u8>>,
+    partitions: HashMap<(String, u32), Partition>,
 }
 
 impl Store {
-    /// The offset of the first kept record; equal to the end when none is kept.
-    pub fn earliest(&self) -> u64 {
-        self.earliest
-    }
-
-    /// The offset that the next append gets.
-    pub fn end(&self) -> u64 {
-        self.earliest + self.records.len() as u64
-    }
-
-    /// Adds a record and gives its offset.
-    pub fn append(&mut self, bytes: Vec<u8>) -> u64 {
-        let offset = self.end();
-        self.records.push_back(bytes);
-        offset
-    }
-
-    /// Drops every record below `before`.
-    pub fn cut(&mut self, before: u64) {
-        while self.earliest < before && self.records.pop_front().is_some() {
-            self.earliest += 1;
+    /// A partition, if the topic can be had.
+    pub fn partition(&mut self, topic: &str, part: u32) -> Option<&mut Partition> {
+        let key = (topic.to_owned(), part);
+        if self.partitions.len() >= TOPICS && !self.partitions.contains_key(&key) {
+            return None;
         }
+        Some(self.partitions.entry(key).or_default())
     }
 
-    /// The records from `from` on, at least one if there is any, else at most `limit` bytes.
-    pub fn read(&self, from: u64, limit: usize) -> Vec<(u64, &[u8])> {
-        if from >= self.end() {
-            return Vec::new();
-        }
-        let first = from.max(self.earliest);
-        let skip = usize::try_from(first - self.earliest).unwrap_or(usize::MAX);
-        let mut budget = limit;
-        let mut taken = Vec::new();
-        for (offset, bytes) in (first..).zip(self.records.iter().skip(skip)) {
-            if !taken.is_empty() && bytes.len() > budget {
-                break;
-            }
-            budget = budget.saturating_sub(bytes.len());
-            taken.push((offset, bytes.as_slice()));
-        }
-        taken
+    /// Adds records on a condition.
+    pub fn add(
+        &mut self,
+        topic: &str,
+        part: u32,
+        records: Vec<Vec<u8>>,
+        condition: &Condition,
+    ) -> Option<Outcome> {
+        let keyed = topic.starts_with(KEYED);
+        let partition = self.partition(topic, part)?;
+        Some(partition.add(records, condition, keyed))
     }
 }
