Test the decisions without I/O, and the daemon as separate processes on stand-ins

A soak injects faults from outside and checks from what callers and upstreams see; its short run is part of the tests. Found by the tests: two entries that dial each other at once could each hear only the link on which the other did not speak; an entry now hears its older links too.

--- a/crates/cassiarock-dispatch/src/entry.rs
+++ b/crates/cassiarock-dispatch/src/entry.rs
@@ -147,9 +147,9 @@
                 }
                 Vec::new()
             }
-            Event::Frame(peer, Frame::Transient(message)) if self.links.is_newest(&peer) => {
-                self.message(&peer, message, now)
-            }
+            // Also over an older link: two entries that dial each other at once may each take
+            // another link for the newer one. What agents tell is matched by attempt.
+            Event::Frame(peer, Frame::Transient(message)) => self.message(&peer, message, now),
             Event::Frame(..) => Vec::new(),
             Event::Down(peer, serial) => {
                 if self.links.close(&peer, serial) {
--- a/crates/cassiarock-test-support/src/lib.rs
+++ b/crates/cassiarock-test-support/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod background;
 
+pub mod leased;
 pub mod log;
 pub mod process;
 pub mod proxy;
--- a/crates/cassiarock-test-support/src/process/mod.rs
+++ b/crates/cassiarock-test-support/src/process/mod.rs
@@ -68,6 +68,40 @@
         Ok(child)
     }
 
+    /// Starts `program ROLE --platform FILE`, where the platform's settings already stand in
+    /// `file`. What it writes to standard output is kept.
+    ///
+    /// # Errors
+    /// If the process does not start.
+    pub fn on_platform(
+        program: impl AsRef<Path>,
+        role: &str,
+        name: &str,
+        file: impl AsRef<Path>,
+    ) -> io::Result<Self> {
+        let mut process = Command::new(program.as_ref())
+            .args([role, "--platform"])
+            .arg(file.as_ref())
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::inherit())
+            .spawn()?;
+        let stdout = process.stdout.take().ok_or(io::ErrorKind::BrokenPipe)?;
+        Ok(Self {
+            name: name.to_owned(),
+            process,
+            // The file is whoever wrote it's: a restarted process reads it again.
+            settings: PathBuf::new(),
+            output: Output::new(stdout),
+            addresses: Vec::new(),
+        })
+    }
+
+    /// Tells it that its settings have changed (SIGHUP).
+    pub fn hang_up(&self) {
+        self.signal(Signal::SIGHUP);
+    }
+
     /// Where it listens for `what`: `callers`, `peers` or `monitor`.
     ///
     /// # Panics
--- a/crates/cassiarock-test-support/src/process/output.rs
+++ b/crates/cassiarock-test-support/src/process/output.rs
@@ -1,8 +1,7 @@
-//! What a child writes to stderr.
+//! What a child writes.
 
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Read};
 use std::net::SocketAddr;
-use std::process::ChildStderr;
 use std::sync::{Arc, Mutex, PoisonError, mpsc};
 use std::thread;
 use std::time::Duration;
@@ -20,12 +19,12 @@
 }
 
 impl Output {
-    pub(super) fn new(stderr: ChildStderr) -> Self {
+    pub(super) fn new(out: impl Read + Send + 'static) -> Self {
         let text = Arc::new(Mutex::new(String::new()));
         let (sender, found) = mpsc::channel();
         let lines = text.clone();
         thread::spawn(move || {
-            for line in BufReader::new(stderr).lines().map_while(Result::ok) {
+            for line in BufReader::new(out).lines().map_while(Result::ok) {
                 if line.contains(LISTENING) {
                     let _ = sender.send(parse(&line));
                 }
--- a/crates/cassiarock-test-support/src/proxy/mod.rs
+++ b/crates/cassiarock-test-support/src/proxy/mod.rs
@@ -27,7 +27,15 @@
     /// # Errors
     /// If no port or no thread is to be had.
     pub fn new() -> io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
+        Self::at(([127, 0, 0, 1], 0).into())
+    }
+
+    /// The same at an address of the loopback network that others know already.
+    ///
+    /// # Errors
+    /// If the address is taken or no thread is to be had.
+    pub fn at(address: SocketAddr) -> io::Result<Self> {
+        let listener = TcpListener::bind(address)?;
         listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
         let state = Arc::new(State::default());
--- a/crates/cassiarock-transient/src/scheduler/agent.rs
+++ b/crates/cassiarock-transient/src/scheduler/agent.rs
@@ -22,8 +22,6 @@
     sent: VecDeque<(u64, Demand)>,
     /// Tasks placed there that have not ended.
     pub(super) placed: usize,
-    /// When a task was last tried there although the upstream looks faulty.
-    pub(super) probed: Duration,
     /// Whether it is kept out of placing for what its latest tasks showed.
     pub(super) is_ejected: bool,
     /// When it was last sent its own clock.
@@ -43,7 +41,6 @@
             serial: 0,
             sent: VecDeque::new(),
             placed: 0,
-            probed: Duration::ZERO,
             is_ejected: false,
             echoed: Duration::ZERO,
             free: Demand::default(),
--- a/crates/cassiarock-transient/src/scheduler/place.rs
+++ b/crates/cassiarock-transient/src/scheduler/place.rs
@@ -24,9 +24,6 @@
 /// At most one upstream in three is kept out: more would lose more room than faults do.
 const EJECTED: usize = 3;
 
-/// A task is tried on an upstream that is kept out once in this time and entry.
-const PROBE: Duration = Duration::from_millis(700);
-
 /// What running away from the data's rack costs at the users' sites.
 const FAR: f64 = 1.5;
 
@@ -87,9 +84,6 @@
             let demand = work.job.stages[stage].demand;
             if let Some(agent) = self.agents.get_mut(&process) {
                 agent.order(demand);
-                if agent.is_ejected {
-                    agent.probed = now;
-                }
             }
             let expected = work.expected[stage];
             self.rate.add(core_millis(demand.cpu, expected), now);
@@ -156,6 +150,7 @@
         let agents = self.agents.iter();
         let fit = agents.filter(|(process, agent)| {
             agent.is_open(now)
+                && !agent.is_ejected
                 && agent.serves(&work.class.service)
                 && wanted.demand.fits(agent.free())
                 && wanted
@@ -167,9 +162,6 @@
         let costs = fit.filter_map(|(process, agent)| {
             let pace = f64::from(agent.load.pace.max(1)) / self.median.max(1.0);
             let expected = work.expected[stage].mul_f64(pace);
-            if agent.is_ejected && now < agent.probed + PROBE {
-                return None;
-            }
             let would_be_late = now + expected > work.due;
             if pace > SLOW && would_be_late && now < work.latest() + work.chain {
                 return None;
@@ -198,7 +190,8 @@
         f64::from(paces.get(paces.len() / 2).copied().unwrap_or(100).max(1))
     }
 
-    /// Keeps out the upstreams that fail most, up to a bound.
+    /// Keeps out the upstreams that fail most, up to a bound. An agent forgets ends after three
+    /// seconds, so an upstream that gets no work for that long is tried anew.
     pub(super) fn judge(&mut self) {
         self.median = self.median_pace();
         let bound = self.agents.len() / EJECTED;
--- /dev/null
+++ b/crates/cassiarock-transient/tests/host/lives.rs
@@ -0,0 +1,153 @@
+//! Lives of the upstream, and entries that come and go.
+
+use crate::world::{World, entry, ms};
+use cassiarock_transient::host::Answer;
+use cassiarock_transient::message::End;
+use cassiarock_transient::timing::{CONTACT, LEASE};
+
+fn running(world: &mut World) {
+    world.order(1, "j", 1);
+    let (task, _) = world.starts[0].clone();
+    world.answer(&task, Answer::Started);
+}
+
+// An upstream crashed and was back at the same address within a second. Its tasks were waited
+// for until their time was over, though everything of the former life was gone.
+#[test]
+fn the_tasks_of_an_upstream_that_restarted_are_lost_at_once() {
+    let mut world = World::new();
+    running(&mut world);
+    world.report("u-2", 1);
+    assert_eq!(world.end_of(1), Some(End::Lost));
+}
+
+// A partition held a report up. Its sender had crashed meanwhile and its successor had
+// reported; the agent took the old report for a third life and dropped all that ran.
+#[test]
+fn a_report_of_an_earlier_life_changes_nothing() {
+    let mut world = World::new();
+    world.report("u-2", 1);
+    world.look(&[], &[]);
+    running(&mut world);
+    world.report("u-1", 9);
+    assert_eq!(world.host.worker().map(|worker| &*worker.id), Some("u-2"));
+    assert_eq!(world.end_of(1), None);
+}
+
+// A new life of the agent started tasks on an upstream that still ran those of the former
+// life, which it knew nothing of.
+#[test]
+fn a_new_agent_starts_nothing_before_what_its_former_life_left_has_ended() {
+    let mut world = World::new();
+    world.report("u-2", 1);
+    world.look(&[("left", 1)], &[]);
+    assert_eq!(world.stops.len(), 1);
+    world.order(1, "j", 1);
+    assert_eq!(world.end_of(1), Some(End::Closed));
+    world.look(&[], &[]);
+    world.order(1, "j", 2);
+    assert_eq!(world.starts.len(), 1);
+}
+
+#[test]
+fn a_leaving_upstream_gets_nothing_new_and_finishes_what_it_has() {
+    let mut world = World::new();
+    running(&mut world);
+    let actions = world.host.leave();
+    world.take(actions);
+    world.order(1, "k", 5);
+    assert_eq!(world.end_of(5), Some(End::Closed));
+    assert!(world.stops.is_empty());
+    world.look(&[], &[(1, "j", 1, End::Done)]);
+    assert_eq!(world.end_of(1), Some(End::Done));
+}
+
+// An entry died. Its callers sent their jobs to another one 1.3 s later, and met their own
+// first submission still running.
+#[test]
+fn the_tasks_of_an_entry_that_is_out_of_reach_are_stopped() {
+    let mut world = World::new();
+    running(&mut world);
+    world.host.heard(&entry(1), world.now, 1);
+    world.host.unlink(&entry(1));
+    world.now += CONTACT - ms(10);
+    world.poll();
+    assert!(world.stops.is_empty(), "a reset connection costs nothing");
+    world.now += ms(10);
+    world.poll();
+    assert_eq!(world.stops.len(), 1);
+}
+
+// The network carried the entry's messages to the agent and none back. The entry gave the
+// agent up and started its tasks elsewhere, while the agent heard it well and went on.
+#[test]
+fn an_entry_that_does_not_hear_the_agent_loses_its_tasks_although_it_speaks() {
+    let mut world = World::new();
+    running(&mut world);
+    let last = world.now;
+    for _ in 0..60 {
+        world.now += ms(10);
+        world.host.heard(&entry(1), last, 1);
+        world.poll();
+        let is_over = world.now >= last + CONTACT;
+        assert_eq!(!world.stops.is_empty(), is_over, "at {:?}", world.now);
+    }
+}
+
+// The upstream's VM was cut off from nothing but its agent: it neither answered nor ended.
+// What ran there is over once its lease has lapsed, and not before.
+#[test]
+fn the_tasks_of_a_silent_upstream_are_lost_once_their_leases_have_lapsed() {
+    let mut world = World::new();
+    running(&mut world);
+    world.look(&[("j", 1)], &[]);
+    let renewed = world.now;
+    while world.end_of(1).is_none() {
+        world.now += ms(10);
+        world.host.heard(&entry(1), world.now, 1);
+        world.host.renew(world.now);
+        world.poll();
+        assert!(world.now < renewed + ms(2_000));
+    }
+    assert_eq!(world.end_of(1), Some(End::Lost));
+    assert!(world.now >= renewed + LEASE);
+}
+
+// An upstream failed everything for some seconds and was well again. An agent that remembered
+// for ever would have kept it out for ever, as it got nothing to prove itself with.
+#[test]
+fn an_upstream_that_failed_everything_is_tried_anew_after_three_seconds() {
+    let mut world = World::new();
+    for number in 1..=6 {
+        let job = format!("j-{number}");
+        world.order(1, &job, 1);
+        world.look(&[], &[(number, &job, 1, End::Failed)]);
+    }
+    assert_eq!(world.load.failing, 100);
+    world.pass(3_200);
+    assert_eq!(world.load.failing, 0);
+}
+
+// One job could never be done, and failed on whatever upstream it came to. Each of them was
+// taken for faulty.
+#[test]
+fn one_job_that_fails_again_and_again_says_nothing_of_the_upstream() {
+    let mut world = World::new();
+    for number in 1..=6 {
+        let attempt = u32::try_from(number).unwrap();
+        world.order(1, "poison", attempt);
+        world.look(&[], &[(number, "poison", attempt, End::Failed)]);
+    }
+    assert_eq!(world.load.failing, 0);
+}
+
+#[test]
+fn ends_that_a_broken_link_may_have_lost_are_told_again() {
+    let mut world = World::new();
+    running(&mut world);
+    world.host.unlink(&entry(1));
+    world.look(&[], &[(1, "j", 1, End::Done)]);
+    assert_eq!(world.end_of(1), None);
+    world.link(1);
+    assert_eq!(world.end_of(1), Some(End::Done));
+}
--- /dev/null
+++ b/crates/cassiarock-transient/tests/host/main.rs
@@ -0,0 +1,7 @@
+//! What an agent does with its upstream.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+mod lives;
+mod orders;
+mod world;
--- /dev/null
+++ b/crates/cassiarock-transient/tests/host/orders.rs
@@ -0,0 +1,111 @@
+//! Orders, and what may be wrong with them.
+
+use crate::world::{World, entry, held, ms};
+use cassiarock_transient::host::{Action, Answer};
+use cassiarock_transient::message::End;
+use cassiarock_transient::timing::CONTACT;
+
+#[test]
+fn a_task_that_ended_is_told_to_its_entry_with_the_room_left() {
+    let mut world = World::new();
+    world.order(1, "j", 1);
+    let (task, _) = world.starts[0].clone();
+    world.answer(&task, Answer::Started);
+    assert_eq!(world.host.running(), 1);
+    world.look(&[], &[(1, "j", 1, End::Done)]);
+    assert_eq!(world.end_of(1), Some(End::Done));
+    assert_eq!(world.load.free.cpu, 10_000);
+}
+
+#[test]
+fn what_does_not_fit_is_turned_away_and_not_ordered() {
+    let mut world = World::new();
+    for number in 0..11 {
+        world.order(1, &format!("j-{number}"), 1);
+    }
+    assert_eq!(world.starts.len(), 10);
+    let full = world.endings.iter();
+    let full = full.filter(|(_, ending)| ending.end == End::Full);
+    assert_eq!(full.count(), 1);
+}
+
+// An agent froze with an order unread in its socket. When it woke seconds later it carried the
+// order out, though its entry had long started the task elsewhere: the task ran twice.
+#[test]
+fn an_order_that_waited_while_the_agent_was_frozen_is_void() {
+    let mut world = World::new();
+    let before = world.now;
+    world.now += CONTACT;
+    world.order_after(1, "j", 1, before);
+    assert!(world.starts.is_empty());
+    assert_eq!(world.end_of(1), Some(End::Stale));
+}
+
+// The upstream left an order unanswered and carried it out four seconds later, when the task
+// ran elsewhere. The order is named a point in time after which it is void, and is stopped at
+// once, which forbids it to start: then its entry need not wait.
+#[test]
+fn an_unanswered_order_is_stopped_and_its_entry_told_that_it_never_ran() {
+    let mut world = World::new();
+    world.order(1, "j", 1);
+    let (task, until) = world.starts[0].clone();
+    assert!(until <= world.clock() + 1_000, "void within a lease");
+    world.now += ms(40);
+    world.answer(&task, Answer::Silent);
+    assert_eq!(world.stops, [task.clone()]);
+    assert_eq!(world.end_of(1), None, "it may run yet");
+    let actions = world.stopped(&task);
+    assert_eq!(actions, [Action::Look]);
+    world.look(&[], &[]);
+    assert_eq!(world.end_of(1), Some(End::Refused));
+    assert_eq!(world.host.running(), 0);
+}
+
+#[test]
+fn a_stop_that_is_not_confirmed_is_ordered_again() {
+    let mut world = World::new();
+    world.order(1, "j", 1);
+    let (task, _) = world.starts[0].clone();
+    world.answer(&task, Answer::Silent);
+    world.pass(250);
+    assert!(world.stops.len() >= 2, "{:?}", world.stops.len());
+    assert_eq!(world.end_of(1), None);
+}
+
+// A caller's connection broke, and it sent its job to another entry while the first one's task
+// was still running here: two runs of one task, and a parent charged twice.
+#[test]
+fn a_task_of_a_job_that_was_submitted_again_waits_for_the_earlier_ones_end() {
+    let mut world = World::new();
+    world.link(2);
+    world.order(1, "j", 1);
+    let (task, _) = world.starts[0].clone();
+    world.answer(&task, Answer::Started);
+    world.order(2, "j", 1);
+    assert_eq!(world.starts.len(), 1);
+    assert_eq!(world.stops, [task]);
+    let (to, ending) = world.endings[0].clone();
+    assert_eq!((to, ending.end), (entry(2), End::Busy));
+}
+
+#[test]
+fn a_task_nobody_waits_for_is_stopped() {
+    let mut world = World::new();
+    world.order(1, "j", 1);
+    let actions = world.host.halt(&entry(1), &[held(1)], world.now);
+    world.take(actions);
+    assert_eq!(world.stops.len(), 1);
+    let actions = world.host.halt(&entry(1), &[held(1)], world.now);
+    world.take(actions);
+    assert_eq!(world.stops.len(), 1, "once");
+}
+
+// An order was carried out late, after its agent had given it up: the task ran, asked for by
+// nobody.
+#[test]
+fn what_runs_unasked_is_stopped() {
+    let mut world = World::new();
+    world.look(&[("stranger", 3)], &[]);
+    assert_eq!(world.stops.len(), 1);
+    assert_eq!(&*world.stops[0].job, "stranger");
+}
--- /dev/null
+++ b/crates/cassiarock-transient/tests/host/world.rs
@@ -0,0 +1,178 @@
+//! An agent with an upstream and an entry.
+
+use cassiarock_id::Process;
+use cassiarock_transient::host::{Action, Answer, Look, Named, Task, Worker};
+use cassiarock_transient::message::{Attempt, End, Ending, Load, Order, Start};
+use cassiarock_transient::{Demand, Host, Message};
+use std::time::Duration;
+
+pub const fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+pub fn entry(number: u64) -> Process {
+    Process::new(format!("entry-{number}"), 1)
+}
+
+/// An agent and what it has said so far.
+pub struct World {
+    pub host: Host,
+    pub now: Duration,
+    pub starts: Vec<(Task, u64)>,
+    pub stops: Vec<Task>,
+    pub endings: Vec<(Process, Ending)>,
+    pub load: Load,
+    /// The upstream's clock is the agent's and this much more.
+    pub ahead: u64,
+}
+
+impl World {
+    /// An agent whose upstream has room for ten tasks of one core, linked to one entry.
+    pub fn new() -> Self {
+        let mut world = Self {
+            host: Host::new(),
+            now: ms(1_000),
+            starts: Vec::new(),
+            stops: Vec::new(),
+            endings: Vec::new(),
+            load: Load::default(),
+            ahead: 500_000,
+        };
+        world.report("u-1", 1);
+        world.look(&[], &[]);
+        world.link(1);
+        world
+    }
+
+    pub fn clock(&self) -> u64 {
+        u64::try_from(self.now.as_millis()).unwrap() + self.ahead
+    }
+
+    pub fn report(&mut self, id: &str, sequence: u64) {
+        let worker = Worker {
+            id: id.into(),
+            service: "s".into(),
+            capacity: Demand::new(10_000, 1_000, 0),
+            clock: self.clock(),
+            sequence,
+            ..Worker::default()
+        };
+        let actions = self.host.report(worker, self.now);
+        self.take(actions);
+    }
+
+    pub fn link(&mut self, number: u64) {
+        let actions = self.host.link(&entry(number), self.now);
+        self.take(actions);
+    }
+
+    /// An entry orders one task of a job; it has just heard the agent.
+    pub fn order(&mut self, number: u64, job: &str, attempt: u32) {
+        self.order_after(number, job, attempt, self.now);
+    }
+
+    /// The same, when the entry last heard the agent at `echo`.
+    pub fn order_after(&mut self, number: u64, job: &str, attempt: u32, echo: Duration) {
+        let order = Order {
+            number: 7,
+            job: job.into(),
+            request: "r-1".into(),
+            spec: "what to do".into(),
+            tasks: vec![Start {
+                stage: 0,
+                index: 0,
+                attempt,
+                demand: Demand::new(1_000, 64, 0),
+                expected: ms(100),
+            }],
+        };
+        let actions = self
+            .host
+            .order(&entry(number), 1, echo, vec![order], self.now);
+        self.take(actions);
+    }
+
+    pub fn answer(&mut self, task: &Task, answer: Answer) {
+        let clock = Some(self.clock());
+        let actions = self.host.started(task, answer, clock, self.now);
+        self.take(actions);
+    }
+
+    pub fn stopped(&mut self, task: &Task) -> Vec<Action> {
+        let clock = Some(self.clock());
+        self.host.stopped(task, clock, self.now)
+    }
+
+    /// A look shows these jobs' tasks as running, and these as ended.
+    pub fn look(&mut self, running: &[(&str, u32)], ended: &[(u64, &str, u32, End)]) {
+        let renewed = self.host.renew(self.now);
+        assert!(renewed.is_none_or(|until| until <= self.clock() + 1_000));
+        let look = Look {
+            clock: self.clock(),
+            asked: self.now,
+            running: running
+                .iter()
+                .map(|(job, attempt)| ((*job).into(), named(*attempt)))
+                .collect(),
+            ended: ended
+                .iter()
+                .map(|(number, job, attempt, end)| (*number, (*job).into(), named(*attempt), *end))
+                .collect(),
+        };
+        let actions = self.host.look(&look, self.now);
+        self.take(actions);
+    }
+
+    /// Lets time pass in which the entry is heard.
+    pub fn pass(&mut self, millis: u64) {
+        for _ in 0..millis / 10 {
+            self.now += ms(10);
+            self.host.heard(&entry(1), self.now, 1);
+            self.poll();
+        }
+    }
+
+    pub fn poll(&mut self) {
+        let actions = self.host.poll(self.now);
+        self.take(actions);
+    }
+
+    pub fn end_of(&self, attempt: u32) -> Option<End> {
+        let mut endings = self.endings.iter();
+        let found = endings.find(|(_, ending)| ending.attempt.attempt == attempt);
+        found.map(|(_, ending)| ending.end)
+    }
+
+    pub fn take(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Start { task, until, .. } => self.starts.push((task, until)),
+                Action::Stop(task) => self.stops.push(task),
+                Action::Send(to, Message::Ended { endings, load, .. }) => {
+                    self.load = load;
+                    let endings = endings.into_iter().map(|ending| (to.clone(), ending));
+                    self.endings.extend(endings);
+                }
+                Action::Send(_, Message::AgentBeat { load, .. }) => self.load = load,
+                Action::Send(..) | Action::Look | Action::Tell(_) => {}
+            }
+        }
+    }
+}
+
+fn named(attempt: u32) -> Named {
+    Named {
+        stage: 0,
+        index: 0,
+        attempt,
+    }
+}
+
+pub fn held(attempt: u32) -> Attempt {
+    Attempt {
+        number: 7,
+        stage: 0,
+        index: 0,
+        attempt,
+    }
+}
--- /dev/null
+++ b/crates/cassiarock-transient/tests/scheduler/main.rs
@@ -0,0 +1,8 @@
+//! What callers get of an entry's decisions.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+mod answers;
+mod burst;
+mod losses;
+mod world;
--- /dev/null
+++ b/tests/platform/leaving.rs
@@ -0,0 +1,65 @@
+//! Processes that are stopped, restarted or told of new settings.
+
+use crate::job::{PATIENCE, completed, submit, submit_at};
+use crate::site::{Site, body};
+use std::time::Duration;
+
+// A process took SIGHUP, which says that its settings have changed, for the order to end.
+#[tokio::test]
+async fn new_settings_end_no_process() {
+    let mut site = Site::start(1, 1).await;
+    site.entries[0].process.hang_up();
+    site.agents[0].process.hang_up();
+    let limit = Duration::from_millis(300);
+    assert_eq!(site.entries[0].process.ended(limit).await.unwrap(), None);
+    assert_eq!(site.agents[0].process.ended(limit).await.unwrap(), None);
+    let id = "00000000000000b0";
+    let reply = submit(&site.entries[0], id, &body(2, 20), PATIENCE).await;
+    assert_eq!(reply, completed());
+}
+
+#[tokio::test]
+async fn an_entry_that_is_told_to_end_answers_what_it_has_taken() {
+    let mut site = Site::start(1, 1).await;
+    let id = "00000000000000b1";
+    let url = site.entries[0].job(id);
+    let job = tokio::spawn(async move { submit_at(&url, id, &body(4, 800), PATIENCE).await });
+    while !site.witness.has_begun(id) {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    site.entries[0].process.terminate();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let ready = reqwest::get(site.entries[0].readiness()).await.unwrap();
+    assert_eq!(ready.status(), 503);
+    assert_eq!(job.await.unwrap(), completed());
+    let status = site.entries[0].process.ended(Duration::from_secs(7)).await;
+    assert!(status.unwrap().is_some_and(|status| status.success()));
+}
+
+#[tokio::test]
+async fn an_agent_that_is_told_to_end_finishes_its_tasks_and_takes_no_more() {
+    let mut site = Site::start(1, 2).await;
+    let id = "00000000000000b2";
+    let url = site.entries[0].job(id);
+    let job = tokio::spawn(async move { submit_at(&url, id, &body(8, 800), PATIENCE).await });
+    while site.witness.runs().len() < 8 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    site.agents[0].process.terminate();
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let before = site.witness.runs().len();
+    let next = "00000000000000b3";
+    let next = submit(&site.entries[0], next, &body(4, 50), PATIENCE).await;
+    assert_eq!(next, completed());
+    let later = site.witness.runs().split_off(before);
+    assert!(
+        later.iter().all(|run| run.upstream.starts_with("u-1")),
+        "{later:?}"
+    );
+    assert_eq!(job.await.unwrap(), completed());
+    let runs = site.witness.runs();
+    let runs = runs.iter().filter(|run| run.job == id);
+    assert_eq!(runs.count(), 8, "none was broken off");
+    let status = site.agents[0].process.ended(Duration::from_secs(7)).await;
+    assert!(status.unwrap().is_some_and(|status| status.success()));
+}
--- /dev/null
+++ b/tests/platform/main.rs
@@ -0,0 +1,10 @@
+//! The daemon on stand-ins of the users' platform, as separate processes.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+mod bad_input;
+mod failures;
+mod job;
+mod leaving;
+mod site;
+mod soak;
--- /dev/null
+++ b/tests/platform/site.rs
@@ -0,0 +1,319 @@
+//! A deployment: entries and agents, each on a loopback address of its own.
+
+use cassiarock_test_support::leased::{Upstream, Witness};
+use cassiarock_test_support::log::{Door, Stand};
+use cassiarock_test_support::process::Child;
+use cassiarock_test_support::proxy::Proxy;
+use serde_json::{Value, json};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU16, Ordering};
+use std::time::{Duration, Instant};
+use tokio::sync::{Semaphore, SemaphorePermit};
+
+const DAEMON: &str = env!("CARGO_BIN_EXE_cassiarockd");
+
+/// So many deployments run at a time: leases of 600 ms lapse on a machine that has more to do
+/// than it can.
+static ROOM: Semaphore = Semaphore::const_new(2);
+
+/// Deployments so far: each has ports of its own.
+static SITES: AtomicU16 = AtomicU16::new(0);
+
+/// How long all links may take at the start, on a busy machine.
+const START: Duration = Duration::from_secs(20);
+
+/// The ports of one deployment, by what they serve.
+#[derive(Clone, Copy, Debug)]
+struct Ports(u16);
+
+impl Ports {
+    /// Ports below those that the system hands out.
+    fn new() -> Self {
+        Self(12_000 + SITES.fetch_add(1, Ordering::Relaxed) % 400 * 40)
+    }
+
+    const fn callers(self) -> u16 {
+        self.0
+    }
+
+    const fn readiness(self) -> u16 {
+        self.0 + 1
+    }
+
+    const fn reports(self) -> u16 {
+        self.0 + 2
+    }
+
+    /// Where agents dial entries.
+    const fn links(self) -> u16 {
+        self.0 + 10
+    }
+
+    /// Where entries listen, behind the proxies.
+    const fn behind(self) -> u16 {
+        self.0 + 20
+    }
+}
+
+/// An entry behind a proxy for its agents.
+pub struct Entry {
+    pub process: Child,
+    pub proxy: Proxy,
+    pub door: Door,
+    ip: Ipv4Addr,
+    name: String,
+    file: File,
+    ports: Ports,
+}
+
+/// An agent with its upstream.
+pub struct Agent {
+    pub process: Child,
+    /// None while it is down.
+    pub upstream: Option<Upstream>,
+    _door: Door,
+    ip: Ipv4Addr,
+    name: String,
+    file: File,
+    upstream_port: u16,
+    ports: Ports,
+    lives: u32,
+}
+
+/// The whole deployment.
+pub struct Site {
+    pub store: Stand,
+    pub witness: Witness,
+    pub entries: Vec<Entry>,
+    pub agents: Vec<Agent>,
+    pub client: reqwest::Client,
+    version: u64,
+    _room: SemaphorePermit<'static>,
+}
+
+impl Site {
+    /// Starts so many entries and agents and waits until each entry can place tasks on all.
+    pub async fn start(entries: usize, agents: usize) -> Self {
+        let room = ROOM.acquire().await.unwrap();
+        let ports = Ports::new();
+        let store = Stand::start().await.unwrap();
+        let witness = Witness::new();
+        let mut site = Self {
+            store,
+            witness,
+            entries: Vec::new(),
+            agents: Vec::new(),
+            client: reqwest::Client::builder().no_proxy().build().unwrap(),
+            version: 0,
+            _room: room,
+        };
+        site.configure();
+        let seeds: Vec<String> = (0..entries).map(|n| ip(1, n).to_string()).collect();
+        for number in 0..entries {
+            let door = site.store.door().await.unwrap();
+            site.entries.push(Entry::start(number, ports, door));
+        }
+        for number in 0..agents {
+            // Agents find entries by their seeds alone, that is through the proxies.
+            let door = site.store.door().await.unwrap();
+            door.with_fault(|fault| fault.down = true);
+            let witness = site.witness.clone();
+            let agent = Agent::start(number, ports, door, &seeds, witness);
+            site.agents.push(agent);
+        }
+        for entry in &site.entries {
+            entry.linked(agents, START).await;
+        }
+        site
+    }
+
+    /// Publishes a configuration with one queue.
+    pub fn configure(&mut self) {
+        self.version += 1;
+        let config = json!({
+            "version": self.version,
+            "routes": [{
+                "name": "r-1", "host": "queue.example", "pathPrefix": "/q/", "kind": "unsafe",
+                "timeoutMs": 1500, "targetLatencyMs": 60, "priority": 0, "service": "tasks",
+                "attempts": 3, "slackFactor": 1.6,
+            }],
+            "services": [{ "name": "tasks", "enforceCapacity": true }],
+            "limits": { "maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000 },
+        });
+        let record = [&[6][..], b"config", config.to_string().as_bytes()].concat();
+        self.store.put("keyed.op", record);
+    }
+}
+
+impl Entry {
+    fn start(number: usize, ports: Ports, door: Door) -> Self {
+        let ip = ip(1, number);
+        let name = format!("entry-{number}");
+        let listen = SocketAddr::from((ip, ports.links()));
+        let behind = SocketAddr::from((ip, ports.behind()));
+        let proxy = Proxy::at(listen).unwrap().with_target(behind);
+        let settings = format!(
+            "nodeName = \"{name}\"\nzone = \"dc-1\"\nip = \"{ip}\"\ninternalPorts = [{}, {}]\n\
+             seeds = []\n[listen]\nfrontendAddress = \"{ip}:{}\"\nreadinessAddress = \"{ip}:{}\"\n\
+             [bounds]\ngraceS = 6\n[platform]\naddress = \"{}\"\n",
+            ports.behind(),
+            ports.behind() + 9,
+            ports.callers(),
+            ports.readiness(),
+            door.address(),
+        );
+        let file = write(&name, ports, &settings);
+        let process = Child::on_platform(DAEMON, "entry", &name, &file).unwrap();
+        Self {
+            process,
+            proxy,
+            door,
+            ip,
+            name,
+            file,
+            ports,
+        }
+    }
+
+    /// Starts it again after its end.
+    pub fn restart(&mut self) {
+        self.process = Child::on_platform(DAEMON, "entry", &self.name, &self.file).unwrap();
+    }
+
+    /// The address of a job.
+    pub fn job(&self, id: &str) -> String {
+        format!("http://{}:{}/q/{id}", self.ip, self.ports.callers())
+    }
+
+    /// Where the balancer asks.
+    pub fn readiness(&self) -> String {
+        let port = self.ports.readiness();
+        format!("http://{}:{port}/v1/readiness", self.ip)
+    }
+
+    /// Where operators read its metrics.
+    pub fn metrics(&self) -> String {
+        format!("http://{}:{}/metrics", self.ip, self.ports.behind() + 1)
+    }
+
+    /// Waits until so many agents can be given tasks.
+    pub async fn linked(&self, agents: usize, limit: Duration) {
+        let until = Instant::now() + limit;
+        let wanted = format!("cassiarock_agents_open {agents}");
+        loop {
+            let text = match reqwest::get(self.metrics()).await {
+                Ok(answer) => answer.text().await.unwrap_or_default(),
+                Err(_) => String::new(),
+            };
+            if text.lines().any(|line| line == wanted) {
+                return;
+            }
+            let said = || self.process.output();
+            assert!(Instant::now() < until, "{}: {text}\n{}", self.name, said());
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+}
+
+impl Agent {
+    fn start(number: usize, ports: Ports, door: Door, seeds: &[String], witness: Witness) -> Self {
+        let ip = ip(2, number);
+        let name = format!("agent-{number}");
+        let reports = SocketAddr::from((ip, ports.reports()));
+        let upstream = Upstream::new(&format!("u-{number}-0"), (ip, 0), reports, witness);
+        let upstream = upstream.unwrap();
+        let seeds = seeds.iter().map(|ip| format!("\"{ip}:1\""));
+        let seeds = seeds.collect::<Vec<_>>().join(",");
+        let settings = format!(
+            "nodeName = \"{name}\"\nzone = \"dc-1\"\nip = \"{ip}\"\ninternalPorts = [{}, {}]\n\
+             seeds = [{seeds}]\napp = \"{}\"\n[listen]\ncontrol = \"{reports}\"\n\
+             [bounds]\ngraceS = 6\n[platform]\naddress = \"{}\"\n",
+            ports.links(),
+            ports.links() + 9,
+            upstream.address(),
+            door.address(),
+        );
+        let file = write(&name, ports, &settings);
+        let process = Child::on_platform(DAEMON, "agent", &name, &file).unwrap();
+        Self {
+            process,
+            upstream_port: upstream.address().port(),
+            upstream: Some(upstream),
+            _door: door,
+            ip,
+            name,
+            file,
+            ports,
+            lives: 0,
+        }
+    }
+
+    /// Starts it again after its end.
+    pub fn restart(&mut self) {
+        self.process = Child::on_platform(DAEMON, "agent", &self.name, &self.file).unwrap();
+    }
+
+    /// Another life of its upstream at the same address.
+    pub fn revive(&mut self, witness: Witness) {
+        self.upstream = None;
+        self.lives += 1;
+        let name = format!("{}-{}", self.name.replace("agent", "u"), self.lives);
+        let reports = SocketAddr::from((self.ip, self.ports.reports()));
+        let address = (self.ip, self.upstream_port);
+        let until = Instant::now() + Duration::from_secs(5);
+        while self.upstream.is_none() {
+            match Upstream::new(&name, address, reports, witness.clone()) {
+                Ok(upstream) => self.upstream = Some(upstream),
+                // The former life's sockets are being closed.
+                Err(error) => assert!(Instant::now() < until, "{error}"),
+            }
+        }
+    }
+
+    /// Where its upstream reports.
+    pub fn reports(&self, id: &str) -> String {
+        let port = self.ports.reports();
+        format!("http://{}:{port}/v1/instances/{id}", self.ip)
+    }
+}
+
+/// The loopback address of a machine. Test programs that run at once differ by their ids.
+fn ip(kind: u8, number: usize) -> Ipv4Addr {
+    let id = std::process::id();
+    let second = u8::try_from(10 + id % 200).unwrap();
+    let third = u8::try_from(id / 200 % 120 * 2).unwrap() + kind;
+    Ipv4Addr::new(127, second, third, u8::try_from(number + 1).unwrap())
+}
+
+/// A settings file, removed with its process.
+struct File(PathBuf);
+
+impl AsRef<std::path::Path> for File {
+    fn as_ref(&self) -> &std::path::Path {
+        &self.0
+    }
+}
+
+impl Drop for File {
+    fn drop(&mut self) {
+        // It may be gone already.
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
+
+fn write(name: &str, ports: Ports, settings: &str) -> File {
+    let id = std::process::id();
+    let file = std::env::temp_dir().join(format!("cassiarock-{id}-{}-{name}.toml", ports.0));
+    std::fs::write(&file, settings).unwrap();
+    File(file)
+}
+
+/// The body of a job of so many tasks that run for `millis` each.
+pub fn body(tasks: u32, millis: u64) -> Value {
+    json!({
+        "spec": format!("ms={millis}"),
+        "bestEffort": true,
+        "phases": [{ "count": tasks, "cpu": 1000, "memMb": 64, "estimateMs": millis }],
+    })
+}
