--- a/crates/cassiarock-operator/src/why/cause.rs
+++ b/crates/cassiarock-operator/src/why/cause.rs
@@ -120,9 +120,18 @@
     let Some(last) = about.last() else {
         return "nothing is known".to_owned();
     };
+    let stopped = about.iter().rev().find(|line| line.what == "stop");
+    let stopped = stopped.map(|line| {
+        let reason = line.field("reason").unwrap_or_default();
+        format!("; its tasks were stopped at {}: {reason}", line.process)
+    });
+    let entry = about.iter().find(|line| line.what == "admitted");
+    let entry = entry.map_or("its entry", |line| line.process.as_str());
     format!(
-        "no outcome is logged: the last that is known is `{}` at {} at {}; that process died, was \
-         frozen or was cut off, or its line was dropped",
-        last.what, last.process, last.at
+        "no outcome is logged: {entry} died, was frozen or was cut off with the request in hand, \
+         or its line was dropped; the last that is known is `{}` at {}{}",
+        last.what,
+        last.process,
+        stopped.unwrap_or_default()
     )
 }
--- a/tests/operator/main.rs
+++ b/tests/operator/main.rs
@@ -1,4 +1,4 @@
-//! The operators' client against real processes, as docs/OPERATING.md describes it.
+//! The operators' client against real processes, as docs/OPERATIONS.md describes it.
 
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
