--- a/crates/cassiarock-transient/src/scheduler/place.rs
+++ b/crates/cassiarock-transient/src/scheduler/place.rs
@@ -51,9 +51,10 @@
             let Some(mut work) = self.works.remove(&number) else {
                 continue;
             };
+            self.queue.remove(&work.place());
             let all = self.place_work(&mut work, now, &mut orders, actions);
-            if !work.has_waiting() {
-                self.queue.remove(&work.place());
+            if work.has_waiting() {
+                self.queue.insert(work.place());
             }
             self.works.insert(number, work);
             if !all {
--- a/crates/cassiarock-transient/src/scheduler/settle.rs
+++ b/crates/cassiarock-transient/src/scheduler/settle.rs
@@ -268,9 +268,9 @@
     /// than room: one that has not run is refused at once if others wait that can still be on
     /// time, and comes after them otherwise.
     pub(super) fn pass_over(&mut self, now: Duration, actions: &mut Vec<Action>) {
-        let first = self.queue.iter();
-        let passed: Vec<Place> = first
-            .take_while(|(is_late, latest, _)| !is_late && *latest < now)
+        let queue = self.queue.iter().take_while(|(is_late, ..)| !is_late);
+        let passed: Vec<Place> = queue
+            .filter(|(_, _, latest, _)| *latest < now)
             .copied()
             .collect();
         let others = self.queue.len() - passed.len();
--- a/crates/cassiarock-transient/src/scheduler/work.rs
+++ b/crates/cassiarock-transient/src/scheduler/work.rs
@@ -10,8 +10,12 @@
 /// caller.
 const LATE: u32 = 3;
 
+/// A job runs longer than expected about as often as shorter: estimates are off by 40%. Of
+/// those that started just early enough by the expected time, half were late.
+const MARGIN: f64 = 1.3;
+
 /// A place in the queue.
-pub(super) type Place = (bool, Duration, u64);
+pub(super) type Place = (bool, bool, Duration, u64);
 
 /// Where a task stands.
 #[derive(Clone, Debug, PartialEq)]
@@ -127,7 +131,7 @@
 
     /// The latest time to start at, if the job is to be on time.
     pub(super) fn latest(&self) -> Duration {
-        self.due.saturating_sub(self.chain)
+        self.due.saturating_sub(self.chain.mul_f64(MARGIN))
     }
 
     /// Its place in the queue: jobs that will be late in any case come after all others.
@@ -135,8 +139,12 @@
     /// By their latest start alone, the jobs that are late already would go before those that
     /// can still be on time. Under lasting overload every job then waits until it is late:
     /// of 300 jobs a second 5 were on time.
+    ///
+    /// A job of which some tasks are placed comes before others: its tasks that are done are
+    /// worth nothing until the last is. Without it, jobs of eight tasks had their last one
+    /// placed 130 ms after their first in a burst, twice as long as a task runs.
     pub(super) fn place(&self) -> Place {
-        (self.is_late, self.latest(), self.number)
+        (self.is_late, !self.was_placed, self.latest(), self.number)
     }
 
     /// Whether it cannot be done in time any more. What runs already is left to end: its
