--- a/crates/cassiarock-transient/src/scheduler/admit.rs
+++ b/crates/cassiarock-transient/src/scheduler/admit.rs
@@ -47,7 +47,11 @@
         let wait = if before.0 + cpu(work) <= room {
             Duration::ZERO
         } else {
-            self.wait(before.1, service, now)
+            let capacity: u64 = open.iter().map(|agent| agent.capacity().cpu).sum();
+            let entries = open.iter().map(|agent| agent.load.entries).max();
+            let share = capacity as f64 / 1000.0 / f64::from(entries.unwrap_or(1).max(1));
+            let rate = self.rate.at(now).max(share * LEAST).max(1.0);
+            Duration::from_secs_f64(before.1 / rate / 1000.0)
         };
         let end = now + wait + work.chain;
         let line = |what| {
@@ -65,22 +69,9 @@
         Ok(line("admitted"))
     }
 
-    /// How long it takes to place so many core-milliseconds of work.
-    pub(super) fn wait(&self, work: f64, service: &str, now: Duration) -> Duration {
-        let agents = self.agents.values();
-        let open = agents.filter(|agent| agent.is_open(now) && agent.serves(service));
-        let (capacity, entries) = open.fold((0, 1), |(capacity, entries), agent| {
-            let capacity = capacity + agent.capacity().cpu;
-            (capacity, agent.load.entries.max(entries))
-        });
-        let share = capacity as f64 / 1000.0 / f64::from(entries);
-        let rate = self.rate.at(now).max(share * LEAST).max(1.0);
-        Duration::from_secs_f64(work / rate / 1000.0)
-    }
-
     /// The processor room that waiting tasks want that go before `work`, and their work in
     /// core-milliseconds.
-    pub(super) fn work_before(&self, work: &Work) -> (u64, f64) {
+    fn work_before(&self, work: &Work) -> (u64, f64) {
         let before = self.queue.range(..work.place());
         let before = before.filter_map(|(.., number)| self.works.get(number));
         before.fold((0, 0.0), |(room, work), next| {
--- a/crates/cassiarock-transient/src/scheduler/settle.rs
+++ b/crates/cassiarock-transient/src/scheduler/settle.rs
@@ -264,39 +264,30 @@
         }
     }
 
-    /// Sees to the jobs whose latest start has passed while they waited: there is more work than
-    /// room. They come after those that can still be on time. One that has not run, and for
-    /// which too much goes before to be done while a late answer is of use, is refused at once.
+    /// Sees to the jobs whose latest start has passed while they waited. There is more work
+    /// than room: one that has not run is refused at once if others wait that can still be on
+    /// time, and comes after them otherwise.
     pub(super) fn pass_over(&mut self, now: Duration, actions: &mut Vec<Action>) {
         let queue = self.queue.iter().take_while(|(is_late, ..)| !is_late);
         let passed: Vec<Place> = queue
             .filter(|(_, _, latest, _)| *latest < now)
             .copied()
             .collect();
+        let others = self.queue.len() - passed.len();
         for place in passed {
             self.queue.remove(&place);
             let (.., number) = place;
-            let Some(mut work) = self.works.remove(&number) else {
+            let Some(work) = self.works.get_mut(&number) else {
                 continue;
             };
             work.is_late = true;
-            let is_lost = !work.may_have_run() && self.is_out_of_reach(&work, now);
             self.queue.insert(work.place());
-            self.works.insert(number, work);
-            if is_lost {
+            if others > 0 && !work.may_have_run() {
                 self.refuse(number, "overload", now, actions);
             }
         }
     }
 
-    /// Whether a job that will be late would not be done even in the time in which a late
-    /// answer is of use, by the work that goes before it.
-    fn is_out_of_reach(&self, work: &Work, now: Duration) -> bool {
-        let (_, before) = self.work_before(work);
-        let wait = self.wait(before, &work.class.service, now);
-        now + wait + work.chain > work.limit
-    }
-
     /// Refuses a job of which nothing has run.
     fn refuse(
         &mut self,
