--- a/crates/cassiarock-dispatch/src/orders.rs
+++ b/crates/cassiarock-dispatch/src/orders.rs
@@ -10,12 +10,14 @@
 use std::time::Duration;
 use tokio::sync::{Semaphore, mpsc, oneshot};
 
-/// How long a look waits for an end. The leases are renewed with each look, and an upstream
-/// that does not answer is found by one that fails.
-const WAIT: Duration = Duration::from_millis(200);
+/// How long a look waits for an end. While one look is left unanswered no end is heard of:
+/// where one call in twenty was, waits of 200 ms and 250 ms more for the answer kept an agent
+/// deaf nearly all the time. At 40 ms it is for a tenth of the time, and an idle agent makes
+/// 25 looks a second, some 3 ms of processor time.
+const WAIT: Duration = Duration::from_millis(40);
 
-/// The pause after a look that failed.
-const PAUSE: Duration = Duration::from_millis(50);
+/// The pause after a look that failed at once: nothing listens there.
+const PAUSE: Duration = Duration::from_millis(20);
 
 /// The pause while no upstream is known.
 const IDLE: Duration = Duration::from_millis(100);
@@ -152,7 +154,10 @@
             until,
             asked,
         } = glance;
-        let look = self.worker.look(&life, seen, until, wait, asked).await;
+        let look = self
+            .worker
+            .look(&life, seen, until, wait, self.limit(), asked)
+            .await;
         let (is_answered, input) = match look {
             Ok(look) => (true, Input::Look(look)),
             Err(Fault::OtherLife) => (false, Input::Gone(life)),
