Let requests wait for the first configuration and the first agents after a start

Change: for the first second of a process's life, a request waits for what is on its way; later it is refused at once as before. The scheduler's part has a test that failed before. Conclusion: kept for what callers see after a loss of power.

--- a/crates/cassiarock-dispatch/src/run.rs
+++ b/crates/cassiarock-dispatch/src/run.rs
@@ -33,6 +33,10 @@
 /// needs two answers to take it out.
 const LISTEN_ON: Duration = Duration::from_millis(2_500);
 
+/// How long requests wait for the first configuration after a start. It is there within
+/// 300 ms if the store or another entry answers.
+const CONFIGURED: Duration = Duration::from_secs(1);
+
 /// What is kept of the time to leave for the last answers to go out.
 const LAST: Duration = Duration::from_millis(300);
 
@@ -104,8 +108,9 @@
     tasks.spawn(directory::announce(store.clone(), own, process));
     tasks.spawn(configurations(store, inputs.clone()));
     monitor(&settings, &statuses, &mut tasks).await?;
+    let configured_by = tokio::time::Instant::now() + CONFIGURED;
     let is_leaving = Arc::new(AtomicBool::new(false));
-    let router = callers::router(Door::new(calls, tables, is_leaving.clone()));
+    let router = callers::router(Door::new(calls, tables, is_leaving.clone(), configured_by));
     let (close, closing) = watch::channel(Stage::Run);
     let server = tokio::spawn(serve_callers(callers, router, closing));
 
--- a/crates/cassiarock-transient/src/scheduler/admit.rs
+++ b/crates/cassiarock-transient/src/scheduler/admit.rs
@@ -17,6 +17,11 @@
 /// it: callers that were refused together should not come back together.
 const AGAIN: Duration = Duration::from_secs(1);
 
+/// A process that has just started knows no agent yet; they are there within 300 ms. When all
+/// processes start at once, callers have waited for them: of a day's refusals two thirds fell
+/// into these milliseconds.
+const START: Duration = Duration::from_secs(1);
+
 /// Without any upstream or configuration, one is expected back within this time.
 const AGAIN_EMPTY: Duration = Duration::from_secs(2);
 
@@ -30,6 +35,9 @@
             .filter(|agent| agent.is_open(now) && agent.serves(service))
             .collect();
         let line = |what| told(what, work, now).with("upstreams", open.len());
+        if open.is_empty() && now < START {
+            return Ok(line("admitted").with("reason", "agents are still dialling"));
+        }
         if open.is_empty() {
             let answer = refused(AGAIN_EMPTY, false);
             return Err((
--- a/crates/cassiarock-transient/tests/scheduler/answers.rs
+++ b/crates/cassiarock-transient/tests/scheduler/answers.rs
@@ -93,6 +93,18 @@
     assert_eq!(answer, Some(Answer::Failed));
 }
 
+// After a loss of power all processes start at once, and with them come the callers that
+// waited. An entry that knew no agent yet refused them all, 200 ms before the agents were there.
+#[test]
+fn a_job_that_comes_before_the_first_agent_waits_for_it() {
+    let mut world = World::starting();
+    world.submit(1, 1, 200, 2_000);
+    assert_eq!(world.answer(1), None);
+    world.add(crate::world::agent(0));
+    world.pass(50);
+    assert_eq!(world.placed.len(), 1);
+}
+
 #[test]
 fn a_job_without_any_upstream_is_refused_at_once() {
     let mut world = World::new(0);
--- a/crates/cassiarock-transient/tests/scheduler/world.rs
+++ b/crates/cassiarock-transient/tests/scheduler/world.rs
@@ -40,30 +40,42 @@
     /// An entry with so many agents, all linked and empty.
     pub fn new(agents: usize) -> Self {
         let mut world = Self {
-            scheduler: Scheduler::new(),
             now: ms(1_000),
-            placed: Vec::new(),
-            halted: Vec::new(),
-            answers: BTreeMap::new(),
-            seen: BTreeMap::new(),
+            ..Self::starting()
         };
         for number in 0..agents {
-            let agent = agent(number);
-            world.scheduler.link(&agent, world.now);
-            let upstream = Upstream {
-                id: format!("u-{number}").into(),
-                service: "s".into(),
-                capacity: ROOM,
-                labels: vec![],
-                is_leaving: false,
-            };
-            world.tell(&agent, Message::Upstream(Some(upstream)));
+            world.add(agent(number));
         }
         world.beat();
         world.poll();
         world
     }
 
+    /// An entry that has just started and knows no agent.
+    pub fn starting() -> Self {
+        Self {
+            scheduler: Scheduler::new(),
+            now: ms(50),
+            placed: Vec::new(),
+            halted: Vec::new(),
+            answers: BTreeMap::new(),
+            seen: BTreeMap::new(),
+        }
+    }
+
+    /// Links an agent with an empty upstream.
+    pub fn add(&mut self, agent: Process) {
+        self.scheduler.link(&agent, self.now);
+        let upstream = Upstream {
+            id: format!("u-{}", agent.name).into(),
+            service: "s".into(),
+            capacity: ROOM,
+            labels: vec![],
+            is_leaving: false,
+        };
+        self.tell(&agent, Message::Upstream(Some(upstream)));
+    }
+
     pub fn tell(&mut self, agent: &Process, message: Message) {
         let actions = self.scheduler.message(agent, message, self.now);
         self.take(actions);
