Remove slots that no agent uses, and drive both actors by one loop

Left by earlier work: cassiarock_upstream's Slot and Slots, dead beside the policy's pool; the two processes of cassiarock-dispatch had the same loop twice. Behaviour stays.

--- a/crates/cassiarock-dispatch/src/run.rs
+++ b/crates/cassiarock-dispatch/src/run.rs
@@ -77,16 +77,10 @@
     };
     let mut tasks = JoinSet::new();
     let actor = Entry::spawn(entry);
-    tasks.spawn(async move {
-        let mut pump = Pump::new(received);
-        let mut idle = Duration::ZERO;
-        while let Some(batch) = pump.next(idle).await {
-            let Ok(next) = actor.ask(entry::Batch(batch)).await else {
-                return;
-            };
-            idle = next;
-        }
-    });
+    tasks.spawn(drive(received, move |batch| {
+        let actor = actor.clone();
+        async move { actor.ask(entry::Batch(batch)).await.ok() }
+    }));
     tasks.spawn(listener.run(identity.clone(), Key::new(KEY), events.clone()));
     tasks.spawn(forward(seen, inputs.clone(), entry::Input::Link));
     let to = inputs.clone();
@@ -164,16 +158,10 @@
     };
     let mut tasks = JoinSet::new();
     let actor = Agent::spawn(agent);
-    tasks.spawn(async move {
-        let mut pump = Pump::new(received);
-        let mut idle = Duration::ZERO;
-        while let Some(batch) = pump.next(idle).await {
-            let Ok(next) = actor.ask(agent::Batch(batch)).await else {
-                return;
-            };
-            idle = next;
-        }
-    });
+    tasks.spawn(drive(received, move |batch| {
+        let actor = actor.clone();
+        async move { actor.ask(agent::Batch(batch)).await.ok() }
+    }));
     tasks.spawn(forward(seen, inputs.clone(), agent::Input::Link));
     tasks.spawn(forward(reported, inputs.clone(), agent::Input::Report));
     tasks.spawn(forward(addresses, inputs.clone(), agent::Input::Entry));
@@ -211,6 +199,22 @@
     }
 }
 
+/// Hands inputs to an actor in batches, until it or all senders are gone. The actor answers
+/// for how long nothing is due.
+async fn drive<T, F>(received: mpsc::Receiver<T>, mut handle: impl FnMut(Vec<T>) -> F)
+where
+    F: Future<Output = Option<Duration>>,
+{
+    let mut pump = Pump::new(received);
+    let mut idle = Duration::ZERO;
+    while let Some(batch) = pump.next(idle).await {
+        let Some(next) = handle(batch).await else {
+            return;
+        };
+        idle = next;
+    }
+}
+
 /// Keeps a link to each other entry that is told.
 async fn dial(
     mut seeds: mpsc::Receiver<SocketAddr>,
--- a/crates/cassiarock-upstream/src/lib.rs
+++ b/crates/cassiarock-upstream/src/lib.rs
@@ -5,7 +5,6 @@
 mod outcome;
 mod protocol;
 mod run;
-mod slot;
 mod watch;
 mod worker;
 
@@ -13,6 +12,5 @@
 pub use outcome::Outcome;
 pub use protocol::{Health, Usage};
 pub use run::Run;
-pub use slot::{Slot, Slots};
 pub use watch::Watch;
 pub use worker::Worker;
