--- /dev/null
+++ b/crates/cassiarock-transient/src/host/looks.rs
@@ -0,0 +1,154 @@
+//! What looks at the upstream show: ends, leftovers, lapsed leases.
+
+use super::run::{Look, Phase, Task};
+use super::{Action, Host, millis};
+use crate::Decision;
+use crate::message::{End, Ending, Message};
+use cassiarock_id::Process;
+use std::time::Duration;
+
+/// How long ends are kept for an entry whose link has broken. After `RECLAIM` it no longer
+/// waits for them.
+const KEEP: Duration = Duration::from_secs(2);
+
+impl Host {
+    /// Until when the next look renews all leases, on the upstream's clock; not at all while
+    /// the upstream does not answer, so that the leases are known to lapse.
+    pub fn renew(&mut self, now: Duration) -> Option<u64> {
+        (!self.lease.is_silent(now)).then(|| self.lease.renew(now))
+    }
+
+    /// What a look at the upstream showed.
+    pub fn look(&mut self, look: &Look, now: Duration) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.lease.hear(Some(look.clock), now);
+        for (number, job, attempt, end) in &look.ended {
+            if *number <= self.seen {
+                continue;
+            }
+            self.seen = *number;
+            if let Some(task) = self.runs.named(job, attempt) {
+                self.end(&task, *end, now, &mut actions);
+            }
+        }
+        self.reconcile(look, now, &mut actions);
+        if !self.is_known {
+            self.is_known = look.running.is_empty();
+        }
+        actions
+    }
+
+    /// Compares what the upstream runs with what was ordered. A task that is there unasked is
+    /// a leftover of an earlier life of this agent, or an order that the upstream carried out
+    /// seconds late: nobody waits for it, and its entry may have started it elsewhere.
+    pub(super) fn reconcile(&mut self, look: &Look, now: Duration, actions: &mut Vec<Action>) {
+        for (job, attempt) in &look.running {
+            match self.runs.named(job, attempt) {
+                Some(task) => {
+                    if let Some(run) = self.runs.get_mut(&task) {
+                        run.listed = true;
+                        if matches!(run.phase, Phase::Starting) {
+                            run.phase = Phase::Running;
+                        }
+                    }
+                }
+                None => {
+                    let task = Task::named(job, attempt);
+                    let told = Decision::new("stop", "", job.clone())
+                        .with("task", &task)
+                        .with("reason", "it runs unasked")
+                        .failed();
+                    actions.push(Action::Tell(told));
+                    actions.push(Action::Stop(task));
+                }
+            }
+        }
+        self.end_unlisted(look, now, actions);
+    }
+
+    /// An attempt that was stopped, is not listed and whose order is void by now never ran.
+    pub(super) fn end_unlisted(&mut self, look: &Look, now: Duration, actions: &mut Vec<Action>) {
+        let void: Vec<Task> =
+            self.runs
+                .iter()
+                .filter(|(task, run)| {
+                    let is_stopped = run.stopped.is_some_and(|at| at <= look.asked);
+                    let is_listed = look.running.iter().any(|(job, attempt)| {
+                        *job == task.job && attempt.is_same_start(&task.attempt)
+                    });
+                    is_stopped && !is_listed
+                })
+                .map(|(task, _)| task.clone())
+                .collect();
+        for task in void {
+            let is_unrun = self.runs.get(&task).is_some_and(|run| !run.listed);
+            let end = if is_unrun { End::Refused } else { End::Stopped };
+            self.end(&task, end, now, actions);
+        }
+    }
+
+    /// Ends everything once the leases must have lapsed: the upstream has not answered, and
+    /// what ran there is over by its own clock.
+    pub(super) fn lapse(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        if self.runs.is_empty() || !self.lease.has_lapsed(now) {
+            return;
+        }
+        self.lose_all(actions, now, "the upstream does not answer");
+    }
+
+    pub(super) fn end(&mut self, task: &Task, end: End, now: Duration, actions: &mut Vec<Action>) {
+        let Some(run) = self.runs.remove(task) else {
+            return;
+        };
+        let ran = now.saturating_sub(run.since);
+        // A start that its upstream left unanswered or a stop that was ordered say nothing of
+        // the upstream's health, a failure does.
+        self.health.end(&task.job, end, ran, run.expected, now);
+        if !matches!(end, End::Done) {
+            let told = Decision::new("ended", run.request.clone(), task.job.clone())
+                .with("task", task)
+                .with("end", format_args!("{end:?}"))
+                .with("ran_ms", ran.as_millis())
+                .with("expected_ms", run.expected.as_millis());
+            actions.push(Action::Tell(told));
+        }
+        let ending = Ending {
+            attempt: task.attempt,
+            end,
+            ran,
+        };
+        self.end_all(&run.owner, vec![ending], now, actions);
+    }
+
+    pub(super) fn end_all(
+        &mut self,
+        entry: &Process,
+        endings: Vec<Ending>,
+        now: Duration,
+        actions: &mut Vec<Action>,
+    ) {
+        let owner = self.owners.entry(entry.clone()).or_default();
+        owner.keep(&endings, now, KEEP);
+        if !owner.is_linked {
+            return;
+        }
+        owner.told = now;
+        // Ends of one look go in one message.
+        if let Some(Action::Send(to, Message::Ended { endings: more, .. })) = actions.last_mut()
+            && to == entry
+        {
+            more.extend(endings);
+            return;
+        }
+        let message = self.ended(entry, endings, now);
+        actions.push(Action::Send(entry.clone(), message));
+    }
+
+    pub(super) fn ended(&self, entry: &Process, endings: Vec<Ending>, now: Duration) -> Message {
+        Message::Ended {
+            clock: millis(now),
+            endings,
+            load: self.load(entry, now),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cassiarock-transient/src/host/orders.rs
@@ -0,0 +1,234 @@
+//! Starting and stopping tasks.
+
+use super::owner::Owner;
+use super::run::{Answer, Phase, Run, Task};
+use super::{Action, Host};
+use crate::message::{Attempt, End, Ending, Order};
+use crate::timing::CONTACT;
+use crate::{Decision, Demand};
+use cassiarock_id::Process;
+use std::time::Duration;
+
+/// A stop that is not confirmed by an end is ordered again after this time: the upstream
+/// needs up to 50 ms for it.
+const STOP_AGAIN: Duration = Duration::from_millis(100);
+
+impl Host {
+    /// An entry orders tasks. `echo` is this agent's clock as the entry last heard it.
+    ///
+    /// An order that waited in a socket while this process was frozen is worthless: its entry
+    /// may have started the tasks elsewhere. The echo shows it, whatever delayed the order.
+    pub fn order(
+        &mut self,
+        entry: &Process,
+        serial: u64,
+        echo: Duration,
+        orders: Vec<Order>,
+        now: Duration,
+    ) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let owner = self.owners.entry(entry.clone()).or_default();
+        owner.heard(echo);
+        owner.serial = serial;
+        let age = now.saturating_sub(echo);
+        let is_stale = age >= CONTACT;
+        let mut endings = Vec::new();
+        for order in orders {
+            let asked = order.tasks.len();
+            let mut turned = Vec::new();
+            for start in &order.tasks {
+                let attempt = Attempt {
+                    number: order.number,
+                    stage: start.stage,
+                    index: start.index,
+                    attempt: start.attempt,
+                };
+                let task = Task {
+                    job: order.job.clone(),
+                    attempt,
+                };
+                let refusal = if is_stale {
+                    Some(End::Stale)
+                } else {
+                    self.obstacle(&task, &start.demand, &mut actions, now)
+                };
+                if let Some(end) = refusal {
+                    turned.push(end);
+                    endings.push(unrun(attempt, end));
+                    continue;
+                }
+                let run = Run::new(entry.clone(), order.request.clone(), start, now);
+                self.runs.add(task.clone(), run);
+                actions.push(Action::Start {
+                    task,
+                    spec: order.spec.clone(),
+                    until: self.lease.renew(now),
+                });
+            }
+            actions.push(Action::Tell(self.taken(&order, asked, &turned, age)));
+        }
+        if !endings.is_empty() {
+            self.end_all(entry, endings, now, &mut actions);
+        }
+        actions
+    }
+
+    pub(super) fn taken(
+        &self,
+        order: &Order,
+        asked: usize,
+        turned: &[End],
+        age: Duration,
+    ) -> Decision {
+        let told = Decision::new("order", order.request.clone(), order.job.clone())
+            .with("tasks", asked)
+            .with("turned_away", turned.len())
+            .with("echo_age_ms", age.as_millis())
+            .with("free_cpu", self.free().cpu)
+            .with("running", self.runs.len());
+        match turned.first() {
+            Some(end) => told.with("reason", format_args!("{end:?}")),
+            None => told,
+        }
+    }
+
+    /// Why `task` cannot be started now, if anything stands in its way.
+    pub(super) fn obstacle(
+        &mut self,
+        task: &Task,
+        demand: &Demand,
+        actions: &mut Vec<Action>,
+        now: Duration,
+    ) -> Option<End> {
+        let Some(worker) = &self.worker else {
+            return Some(End::Closed);
+        };
+        let is_shut = self.is_leaving || worker.is_leaving || worker.is_gone;
+        if is_shut || !self.is_known || self.lease.is_silent(now) {
+            return Some(End::Closed);
+        }
+        // The caller submitted the job again while an earlier submission's task is here: that
+        // one has to end first, or the task would run twice at once.
+        if let Some(earlier) = self.runs.same(task) {
+            self.stop(&earlier, "its job was submitted again", now, actions);
+            return Some(End::Busy);
+        }
+        (!demand.fits(&self.free())).then_some(End::Full)
+    }
+
+    /// An entry no longer wants these.
+    pub fn halt(&mut self, entry: &Process, attempts: &[Attempt], now: Duration) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for attempt in attempts {
+            if let Some(task) = self.runs.find(entry, attempt) {
+                self.stop(&task, "nobody waits", now, &mut actions);
+            }
+        }
+        actions
+    }
+
+    /// The upstream's answer to a start.
+    pub fn started(
+        &mut self,
+        task: &Task,
+        answer: Answer,
+        clock: Option<u64>,
+        now: Duration,
+    ) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.lease.hear(clock, now);
+        let Some(run) = self.runs.get_mut(task) else {
+            return actions;
+        };
+        let end = match answer {
+            Answer::Started => {
+                if matches!(run.phase, Phase::Starting) {
+                    run.phase = Phase::Running;
+                }
+                return actions;
+            }
+            // It may be carried out yet, up to its time limit; the stop forbids that.
+            Answer::Silent => {
+                self.stop(task, "the start was not answered", now, &mut actions);
+                return actions;
+            }
+            Answer::Full => End::Full,
+            Answer::Passed => End::Passed,
+            Answer::Refused => End::Refused,
+        };
+        self.end(task, end, now, &mut actions);
+        actions
+    }
+
+    pub(super) fn stop(
+        &mut self,
+        task: &Task,
+        reason: &'static str,
+        now: Duration,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(run) = self.runs.get_mut(task) else {
+            return;
+        };
+        if matches!(run.phase, Phase::Stopping(_)) {
+            return;
+        }
+        run.phase = Phase::Stopping(now);
+        let told = Decision::new("stop", run.request.clone(), task.job.clone())
+            .with("task", task)
+            .with("reason", reason)
+            .with("ran_ms", now.saturating_sub(run.since).as_millis());
+        actions.push(Action::Tell(told));
+        actions.push(Action::Stop(task.clone()));
+    }
+
+    /// The upstream confirmed a stop: the attempt has ended or can never start. If it was
+    /// never seen to run, a look at once tells which, and its entry need not wait.
+    pub fn stopped(&mut self, task: &Task, clock: Option<u64>, now: Duration) -> Vec<Action> {
+        self.lease.hear(clock, now);
+        let Some(run) = self.runs.get_mut(task) else {
+            return Vec::new();
+        };
+        run.stopped = run.stopped.or(Some(now));
+        if run.listed {
+            return Vec::new();
+        }
+        vec![Action::Look]
+    }
+
+    /// Stops the tasks of entries that this agent no longer hears, or that no longer hear it:
+    /// they will start the tasks elsewhere.
+    pub(super) fn stop_abandoned(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        let lost = |owner: &Owner| now.saturating_sub(owner.echo) >= CONTACT;
+        let abandoned: Vec<Task> = self
+            .runs
+            .iter()
+            .filter(|(_, run)| !matches!(run.phase, Phase::Stopping(_)))
+            .filter(|(_, run)| self.owners.get(&run.owner).is_none_or(lost))
+            .map(|(task, _)| task.clone())
+            .collect();
+        for task in abandoned {
+            self.stop(&task, "its entry is out of reach", now, actions);
+        }
+    }
+
+    pub(super) fn stop_again(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        for (task, run) in self.runs.iter_mut() {
+            if let Phase::Stopping(at) = run.phase
+                && run.stopped.is_none()
+                && now >= at + STOP_AGAIN
+            {
+                run.phase = Phase::Stopping(now);
+                actions.push(Action::Stop(task.clone()));
+            }
+        }
+    }
+}
+
+const fn unrun(attempt: Attempt, end: End) -> Ending {
+    Ending {
+        attempt,
+        end,
+        ran: Duration::ZERO,
+    }
+}
--- /dev/null
+++ b/crates/cassiarock-transient/src/host/upstream.rs
@@ -0,0 +1,171 @@
+//! The upstream: its lives, its room, and what entries are told of it.
+
+use super::health::Health;
+use super::lease::Lease;
+use super::run::{Run, Task};
+use super::worker::Worker;
+use super::{Action, Host};
+use crate::message::{End, Load, Message, Upstream};
+use crate::{Decision, Demand};
+use cassiarock_id::Process;
+use std::time::Duration;
+
+/// A task is overdue after this many times what was expected of it, ...
+const OVERDUE: f64 = 2.5;
+
+/// ... and this much more: estimates are off by 40%, and short tasks by a look's wait.
+const OVERDUE_LEAST: Duration = Duration::from_millis(120);
+
+/// So many overdue tasks that are half of all that run tell of the upstream, not of the tasks.
+const STALLED: usize = 2;
+
+/// What is told of such an upstream, in hundredths of what was expected: well over the bound
+/// at which entries keep tasks away and move those that are there.
+const STALLED_PACE: u16 = 400;
+
+impl Host {
+    /// The upstream reports. A report of a life that has been followed by another is old news
+    /// that a broken network had held up.
+    pub fn report(&mut self, worker: Worker, now: Duration) -> Vec<Action> {
+        let mut actions = Vec::new();
+        match &self.worker {
+            Some(known) if known.id == worker.id => {
+                if worker.sequence < known.sequence {
+                    return actions;
+                }
+                let is_same = known.upstream() == worker.upstream();
+                self.worker = Some(worker);
+                if !is_same {
+                    self.tell_upstream(&mut actions, "the upstream changed");
+                }
+            }
+            Some(known) if known.was.contains(&worker.id) => {
+                actions.push(Action::Tell(
+                    Decision::new("report ignored", "", "")
+                        .with("upstream", &worker.id)
+                        .with("reason", "an earlier life"),
+                ));
+            }
+            known => {
+                let was = known.as_ref().map(Worker::lives).unwrap_or_default();
+                self.lose_all(&mut actions, now, "the upstream restarted");
+                self.lease = Lease::new(worker.clock, now);
+                self.worker = Some(worker.after(was));
+                self.seen = 0;
+                self.is_known = false;
+                self.health = Health::default();
+                self.tell_upstream(&mut actions, "a new upstream");
+            }
+        }
+        actions
+    }
+
+    /// The upstream is gone: it said so, or another life answers at its address.
+    pub fn gone(&mut self, id: &str, reason: &'static str, now: Duration) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if self.worker.as_ref().is_none_or(|worker| &*worker.id != id) {
+            return actions;
+        }
+        self.lose_all(&mut actions, now, reason);
+        if let Some(worker) = &mut self.worker {
+            worker.is_gone = true;
+        }
+        self.is_known = false;
+        self.tell_upstream(&mut actions, reason);
+        actions
+    }
+
+    /// This agent takes no new work any more.
+    pub fn leave(&mut self) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.is_leaving = true;
+        self.tell_upstream(&mut actions, "the agent is leaving");
+        actions
+    }
+
+    /// All attempts have ended with their upstream.
+    pub(super) fn lose_all(
+        &mut self,
+        actions: &mut Vec<Action>,
+        now: Duration,
+        reason: &'static str,
+    ) {
+        let tasks: Vec<Task> = self.runs.iter().map(|(task, _)| task.clone()).collect();
+        if !tasks.is_empty() {
+            let told = Decision::new("all lost", "", "")
+                .with("reason", reason)
+                .with("tasks", tasks.len())
+                .failed();
+            actions.push(Action::Tell(told));
+        }
+        for task in tasks {
+            self.end(&task, End::Lost, now, actions);
+        }
+    }
+
+    pub(super) fn tell_upstream(&mut self, actions: &mut Vec<Action>, reason: &'static str) {
+        let upstream = self.upstream();
+        let mut told = Decision::new("upstream", "", "").with("reason", reason);
+        if let Some(upstream) = &upstream {
+            told = told
+                .with("upstream", &upstream.id)
+                .with("service", &upstream.service)
+                .with("cpu", upstream.capacity.cpu)
+                .with("leaving", upstream.is_leaving);
+        }
+        actions.push(Action::Tell(told));
+        for (entry, owner) in &self.owners {
+            if owner.is_linked {
+                let message = Message::Upstream(upstream.clone());
+                actions.push(Action::Send(entry.clone(), message));
+            }
+        }
+    }
+
+    pub(super) fn upstream(&self) -> Option<Upstream> {
+        let worker = self.worker.as_ref().filter(|worker| !worker.is_gone)?;
+        let mut upstream = worker.upstream();
+        upstream.is_leaving |= self.is_leaving;
+        Some(upstream)
+    }
+
+    /// The pace that tasks show which have not ended: an upstream on which everything stands
+    /// still ends none, and would look as good as before.
+    fn stalled(&self, now: Duration) -> u16 {
+        let is_overdue = |run: &Run| {
+            let bound = run
+                .expected
+                .mul_f64(OVERDUE)
+                .max(run.expected + OVERDUE_LEAST);
+            now >= run.since + bound
+        };
+        let overdue = self.runs.iter().filter(|(_, run)| is_overdue(run)).count();
+        let is_stalled = overdue >= STALLED && overdue * 2 >= self.runs.len();
+        if is_stalled { STALLED_PACE } else { 0 }
+    }
+
+    pub(super) fn free(&self) -> Demand {
+        let capacity = self.worker.as_ref().map(|worker| worker.capacity);
+        capacity.unwrap_or_default().minus(&self.runs.taken())
+    }
+
+    pub(super) fn load(&self, entry: &Process, now: Duration) -> Load {
+        let worker = self.worker.as_ref();
+        let is_open = self.is_known
+            && !self.lease.is_silent(now)
+            && !self.is_leaving
+            && worker.is_some_and(|worker| !worker.is_gone && !worker.is_leaving);
+        let entries = self.owners.values().filter(|owner| owner.is_linked).count();
+        Load {
+            seen: self.owners.get(entry).map_or(0, |owner| owner.serial),
+            free: if is_open {
+                self.free()
+            } else {
+                Demand::default()
+            },
+            failing: self.health.failing(now),
+            pace: self.health.pace().max(self.stalled(now)),
+            entries: u16::try_from(entries).unwrap_or(u16::MAX),
+        }
+    }
+}
--- a/crates/cassiarock-transient/tests/host/lives.rs
+++ b/crates/cassiarock-transient/tests/host/lives.rs
@@ -151,3 +151,22 @@
     world.link(1);
     assert_eq!(world.end_of(1), Some(End::Done));
 }
+
+// Everything on an upstream stood still, while it reported and answered well. No task ended
+// there, so nothing showed, and its entries went on giving it work.
+#[test]
+fn an_upstream_on_which_tasks_stand_still_shows_as_slow() {
+    let mut world = World::new();
+    for number in 0..4 {
+        world.order(1, &format!("j-{number}"), 1);
+    }
+    let names = ["j-0", "j-1", "j-2", "j-3"].map(|job| (job, 1));
+    world.look(&names, &[]);
+    world.pass(100);
+    assert_eq!(world.load.pace, 100, "within what was expected");
+    for _ in 0..4 {
+        world.pass(100);
+        world.look(&names, &[]);
+    }
+    assert!(world.load.pace >= 300, "{}", world.load.pace);
+}
