Split the processes' set-up, write a process's last lines, drop what nothing reads

The set-up of entry and agent is a module each, in steps. A process that ends waits up to 200 ms for its last lines: 'stopped' was never seen (test).

--- a/crates/cassiarock-dispatch/src/agent.rs
+++ b/crates/cassiarock-dispatch/src/agent.rs
@@ -163,8 +163,8 @@
                 self.host.order(entry, serial, echo, orders, now)
             }
             Message::Halt(attempts) => self.host.halt(entry, &attempts, now),
-            Message::EntryBeat { echo, version } => {
-                self.host.heard(entry, Duration::from_millis(echo), version);
+            Message::EntryBeat { echo, .. } => {
+                self.host.heard(entry, Duration::from_millis(echo));
                 Vec::new()
             }
             Message::Entries(entries) => {
--- /dev/null
+++ b/crates/cassiarock-dispatch/src/run/agent.rs
@@ -0,0 +1,116 @@
+//! An agent from its settings to its end.
+
+use super::{FLUSH, KEY, bind, drive, identity, leave, monitor, serve};
+use crate::agent::{Agent, Batch, Input};
+use crate::links::Links;
+use crate::orders::Orders;
+use crate::reload::reload;
+use crate::{Error, directory};
+use cassiarock_adapter::{Settings, Store, Worker, reports};
+use cassiarock_id::{Process, Wall};
+use cassiarock_peer::{Event, Identity, Key};
+use cassiarock_process::{BACKLOG, Clock, Report, Stage, Status, forward, until};
+use cassiarock_transient::Host;
+use cassiarock_wire::Role;
+use kameo::actor::Spawn;
+use std::collections::HashMap;
+use std::path::PathBuf;
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinSet;
+
+/// Runs an agent until `asked` says that it shall end.
+///
+/// # Errors
+/// If a listener or a client cannot be set up.
+pub async fn agent(
+    file: PathBuf,
+    settings: Settings,
+    mut asked: watch::Receiver<Stage>,
+) -> Result<Report, Error> {
+    let grace = settings.grace;
+    let running = Running::start(file, settings).await?;
+    until(&mut asked, Stage::Drain).await;
+    log::info!("leaving");
+    // The actor takes inputs as long as its task runs.
+    let _ = running.inputs.send(Input::Leave).await;
+    leave(running.idle(), &mut asked, grace).await;
+    let tasks = running.statuses.borrow().running;
+    log::info!(tasks = tasks; "stopped");
+    Ok(Report { jobs: 0, tasks })
+}
+
+/// An agent that serves; its parts end when it is dropped.
+struct Running {
+    inputs: mpsc::Sender<Input>,
+    statuses: watch::Receiver<Status>,
+    _tasks: JoinSet<()>,
+}
+
+impl Running {
+    async fn start(file: PathBuf, settings: Settings) -> Result<Self, Error> {
+        let upstream = settings.upstream.ok_or(Error::Address("the upstream"))?;
+        let at = settings.reports.ok_or(Error::Address("reports"))?;
+        let listener = bind(at).await?;
+        let process = Process::new(settings.name.clone(), Wall::now().as_millis());
+        let identity = identity(&settings, &process, Role::Agent);
+        let store = Store::new(settings.store.to_string())?;
+        let (inputs, received) = mpsc::channel(BACKLOG);
+        let (events, seen) = mpsc::channel(BACKLOG);
+        let (reporting, reported) = mpsc::channel(BACKLOG);
+        let (found, addresses) = mpsc::channel(BACKLOG);
+        let first = Status::new(process, "agent", settings.data_centre.clone());
+        let (status, statuses) = watch::channel(first);
+        let orders = Orders::new(Worker::new(upstream)?, inputs.clone());
+        let actor = Agent::spawn(new(identity, events, orders.clone(), status));
+
+        let mut tasks = JoinSet::new();
+        tasks.spawn(drive(received, move |batch| {
+            let actor = actor.clone();
+            async move { actor.ask(Batch(batch)).await.ok() }
+        }));
+        tasks.spawn(forward(seen, inputs.clone(), Input::Link));
+        tasks.spawn(forward(reported, inputs.clone(), Input::Report));
+        tasks.spawn(forward(addresses, inputs.clone(), Input::Entry));
+        tasks.spawn(orders.look());
+        for seed in &settings.seeds {
+            // The actor takes inputs as long as its task runs.
+            let _ = inputs.send(Input::Entry(*seed)).await;
+        }
+        tasks.spawn(reload(file, settings.clone(), found.clone()));
+        tasks.spawn(directory::addresses(store, found));
+        tasks.spawn(serve(listener, reports::router(reporting)));
+        monitor(&settings, &statuses, &mut tasks).await?;
+        Ok(Self {
+            inputs,
+            statuses,
+            _tasks: tasks,
+        })
+    }
+
+    /// Waits until no task is left, and its end has gone out.
+    async fn idle(&self) {
+        let mut statuses = self.statuses.clone();
+        // An error means that the actor is gone.
+        let _ = statuses.wait_for(|status| status.running == 0).await;
+        tokio::time::sleep(FLUSH).await;
+    }
+}
+
+fn new(
+    identity: Identity,
+    events: mpsc::Sender<Event>,
+    orders: Orders,
+    status: watch::Sender<Status>,
+) -> Agent {
+    Agent {
+        host: Host::new(),
+        clock: Clock::new(),
+        links: Links::default(),
+        dialers: HashMap::new(),
+        identity,
+        key: Key::new(KEY),
+        events,
+        orders,
+        status,
+    }
+}
--- /dev/null
+++ b/crates/cassiarock-dispatch/src/run/entry.rs
@@ -0,0 +1,204 @@
+//! An entry from its settings to its end.
+
+use super::{FLUSH, KEY, bind, drive, identity, leave, monitor};
+use crate::entry::{Batch, Entry, Input};
+use crate::links::Links;
+use crate::reload::reload;
+use crate::{Error, directory, follow};
+use cassiarock_adapter::callers::{self, Call, Door};
+use cassiarock_adapter::{Settings, Store, configuration};
+use cassiarock_caller::Limit;
+use cassiarock_id::{Process, Wall};
+use cassiarock_peer::{Dialer, Event, Identity, Key, Listener};
+use cassiarock_process::{BACKLOG, Clock, Report, Stage, Status, forward, until};
+use cassiarock_transient::{Scheduler, Table};
+use cassiarock_wire::Role;
+use kameo::actor::Spawn;
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+use tokio::task::{JoinHandle, JoinSet};
+use tokio::time::Instant;
+
+/// How long a leaving entry still takes connections: the balancer asks once a second and
+/// needs two answers to take it out.
+const LISTEN_ON: Duration = Duration::from_millis(2_500);
+
+/// How long requests wait for the first configuration after a start. It is there within
+/// 300 ms if the store or another entry answers.
+const CONFIGURED: Duration = Duration::from_secs(1);
+
+/// How long a caller's connection may be idle or take over its headers: what the operators'
+/// configuration allows for idle ones.
+const IDLE: Duration = Duration::from_secs(15);
+
+/// Connections of callers: three quarters of the 4,100 descriptors of the smallest VMs.
+const CONNECTIONS: usize = 3_000;
+
+/// Runs an entry until `asked` says that it shall end.
+///
+/// # Errors
+/// If a listener or a client cannot be set up.
+pub async fn entry(
+    file: PathBuf,
+    settings: Settings,
+    mut asked: watch::Receiver<Stage>,
+) -> Result<Report, Error> {
+    let grace = settings.grace;
+    let running = Running::start(file, settings).await?;
+    until(&mut asked, Stage::Drain).await;
+    log::info!("leaving");
+    running.is_leaving.store(true, Ordering::Relaxed);
+    // The actor takes inputs as long as its task runs.
+    let _ = running.inputs.send(Input::Leave).await;
+    let statuses = running.statuses.clone();
+    leave(running.answer_all(), &mut asked, grace).await;
+    let jobs = statuses.borrow().jobs;
+    log::info!(jobs = jobs; "stopped");
+    Ok(Report { jobs, tasks: 0 })
+}
+
+/// An entry that serves; its parts end when it is dropped.
+struct Running {
+    inputs: mpsc::Sender<Input>,
+    statuses: watch::Receiver<Status>,
+    is_leaving: Arc<AtomicBool>,
+    /// Tells the callers' server to finish what it has.
+    close: watch::Sender<Stage>,
+    server: JoinHandle<()>,
+    _tasks: JoinSet<()>,
+}
+
+impl Running {
+    async fn start(file: PathBuf, settings: Settings) -> Result<Self, Error> {
+        let listener = bind(settings.callers.ok_or(Error::Address("callers"))?).await?;
+        let process = Process::new(settings.name.clone(), Wall::now().as_millis());
+        let identity = identity(&settings, &process, Role::Entry);
+        let links = Listener::bind(settings.peers).await?;
+        let store = Store::new(settings.store.to_string())?;
+        let (inputs, received) = mpsc::channel(BACKLOG);
+        let (events, seen) = mpsc::channel(BACKLOG);
+        // Bounded by the callers' connections: each has one request at a time.
+        let (calls, asking) = mpsc::unbounded_channel();
+        let (seeds, seeded) = mpsc::channel(BACKLOG);
+        let first = Status::new(process.clone(), "entry", settings.data_centre.clone());
+        let (status, statuses) = watch::channel(first);
+        let (table, tables) = watch::channel(None);
+        let actor = Entry::spawn(new(table, status));
+
+        let mut tasks = JoinSet::new();
+        tasks.spawn(drive(received, move |batch| {
+            let actor = actor.clone();
+            async move { actor.ask(Batch(batch)).await.ok() }
+        }));
+        let key = Key::new(KEY);
+        tasks.spawn(links.run(identity.clone(), key, events.clone()));
+        tasks.spawn(forward(seen, inputs.clone(), Input::Link));
+        tasks.spawn(pass_on(asking, inputs.clone()));
+        for seed in &settings.seeds {
+            // Its receiver is held by the dialling task.
+            let _ = seeds.try_send(*seed);
+        }
+        tasks.spawn(reload(file, settings.clone(), seeds));
+        tasks.spawn(dial(seeded, identity, events));
+        tasks.spawn(directory::announce(store.clone(), settings.peers, process));
+        tasks.spawn(configurations(store, inputs.clone()));
+        monitor(&settings, &statuses, &mut tasks).await?;
+        let is_leaving = Arc::new(AtomicBool::new(false));
+        let configured_by = Instant::now() + CONFIGURED;
+        let door = Door::new(calls, tables, is_leaving.clone(), configured_by);
+        let (close, closing) = watch::channel(Stage::Run);
+        let server = tokio::spawn(serve(listener, callers::router(door), closing));
+        Ok(Self {
+            inputs,
+            statuses,
+            is_leaving,
+            close,
+            server,
+            _tasks: tasks,
+        })
+    }
+
+    /// Lets the balancer take the entry out, then ends idle connections and waits for the
+    /// others.
+    async fn answer_all(self) {
+        tokio::time::sleep(LISTEN_ON).await;
+        self.close.send_replace(Stage::Drain);
+        // It has panicked otherwise, and nothing is left to wait for.
+        let _ = self.server.await;
+        let mut statuses = self.statuses;
+        // An error means that the actor is gone, and so are all jobs.
+        let _ = statuses.wait_for(|status| status.jobs == 0).await;
+        tokio::time::sleep(FLUSH).await;
+    }
+}
+
+fn new(table: watch::Sender<Option<Arc<Table>>>, status: watch::Sender<Status>) -> Entry {
+    Entry {
+        scheduler: Scheduler::new(),
+        clock: Clock::new(),
+        links: Links::default(),
+        callers: HashMap::new(),
+        text: None,
+        table,
+        status,
+        entries: BTreeSet::new(),
+        beat: Duration::ZERO,
+    }
+}
+
+async fn pass_on(mut calls: mpsc::UnboundedReceiver<Call>, inputs: mpsc::Sender<Input>) {
+    while let Some(call) = calls.recv().await {
+        if inputs.send(Input::Call(call)).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Keeps a link to each other entry that is told.
+async fn dial(
+    mut seeds: mpsc::Receiver<SocketAddr>,
+    identity: Identity,
+    events: mpsc::Sender<Event>,
+) {
+    let mut dialers: HashMap<SocketAddr, Dialer> = HashMap::new();
+    while let Some(seed) = seeds.recv().await {
+        if *identity.address != *seed.to_string() {
+            dialers.entry(seed).or_insert_with(|| {
+                Dialer::new(seed, None, identity.clone(), Key::new(KEY), events.clone())
+            });
+        }
+    }
+}
+
+async fn configurations(store: Store, inputs: mpsc::Sender<Input>) {
+    follow::follow(store, configuration::TOPIC, |key, value| {
+        if key != configuration::KEY {
+            return;
+        }
+        let Ok(text) = std::str::from_utf8(value) else {
+            log::warn!("configuration left out: not UTF-8");
+            return;
+        };
+        let sent = inputs.try_send(Input::Configuration(text.into()));
+        if sent.is_err() {
+            log::warn!("configuration left out: the entry is too far behind");
+        }
+    })
+    .await;
+}
+
+async fn serve(listener: TcpListener, router: axum::Router, mut closing: watch::Receiver<Stage>) {
+    let limit = Limit {
+        receive: IDLE,
+        connections: CONNECTIONS,
+        ..Limit::default()
+    };
+    let closing = until(&mut closing, Stage::Drain);
+    cassiarock_caller::serve(listener, router, &limit, closing).await;
+}
--- /dev/null
+++ b/crates/cassiarock-dispatch/src/run/mod.rs
@@ -0,0 +1,103 @@
+//! Sets the processes up, runs them, and takes them down.
+
+mod agent;
+mod entry;
+
+pub use agent::agent;
+pub use entry::entry;
+
+use crate::Error;
+use crate::links::tempo;
+use cassiarock_adapter::{Settings, reports};
+use cassiarock_id::Process;
+use cassiarock_peer::Identity;
+use cassiarock_process::{Monitor, Pump, Stage, Status, until};
+use cassiarock_wire::Role;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinSet;
+
+/// The platform's settings hold no secret. The key keeps processes of other systems apart
+/// that dial by mistake; it is no protection against an attacker on the platform's network.
+const KEY: &str = "cassiarock on the platform";
+
+/// What is kept of the time to leave for the last answers to go out.
+const LAST: Duration = Duration::from_millis(300);
+
+/// How long answers and ends that have been decided take to leave the sockets.
+const FLUSH: Duration = Duration::from_millis(100);
+
+fn identity(settings: &Settings, process: &Process, role: Role) -> Identity {
+    Identity {
+        process: process.clone(),
+        role,
+        data_centre: settings.data_centre.clone(),
+        address: settings.peers.to_string().into(),
+        tempo: tempo(),
+    }
+}
+
+/// Hands inputs to an actor in batches, until it or all senders are gone. The actor answers
+/// for how long nothing is due.
+async fn drive<T, F>(received: mpsc::Receiver<T>, mut handle: impl FnMut(Vec<T>) -> F)
+where
+    F: Future<Output = Option<Duration>>,
+{
+    let mut pump = Pump::new(received);
+    let mut idle = Duration::ZERO;
+    while let Some(batch) = pump.next(idle).await {
+        let Some(next) = handle(batch).await else {
+            return;
+        };
+        idle = next;
+    }
+}
+
+/// Waits for `leaving`, but no longer than the platform lets the process live, and not if it is
+/// told to end at once.
+async fn leave(
+    leaving: impl Future<Output = ()>,
+    asked: &mut watch::Receiver<Stage>,
+    grace: Duration,
+) {
+    tokio::select! {
+        () = leaving => {}
+        () = until(asked, Stage::Stop) => {}
+        () = tokio::time::sleep(grace.saturating_sub(LAST)) => {}
+    }
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, Error> {
+    let bound = TcpListener::bind(address).await;
+    let bound = bound.map_err(|source| cassiarock_adapter::Error::Bind { address, source });
+    Ok(bound?)
+}
+
+/// Opens the listeners for the platform's balancer and for operators.
+async fn monitor(
+    settings: &Settings,
+    statuses: &watch::Receiver<Status>,
+    tasks: &mut JoinSet<()>,
+) -> Result<(), Error> {
+    if let Some(address) = settings.readiness {
+        let known = statuses.clone();
+        let is_ready = move || known.borrow().ready;
+        let listener = bind(address).await?;
+        tasks.spawn(serve(listener, reports::readiness(is_ready)));
+    }
+    // Jobs are served also without metrics.
+    match Monitor::bind(settings.monitor).await {
+        Ok(monitor) => {
+            tasks.spawn(monitor.run(statuses.clone(), axum::Router::new()));
+        }
+        Err(error) => log::warn!("no metrics: {error}"),
+    }
+    Ok(())
+}
+
+async fn serve(listener: TcpListener, router: axum::Router) {
+    // Serving ends only with the process.
+    let _ = axum::serve(listener, router).await;
+}
--- a/crates/cassiarock-process/src/outlet.rs
+++ b/crates/cassiarock-process/src/outlet.rs
@@ -22,6 +22,9 @@
 /// than the decision that it tells of. It is what a killed process may fail to tell.
 const GATHER: Duration = Duration::from_millis(50);
 
+/// The pause between two looks at what still waits when a process ends.
+const DRAIN: Duration = Duration::from_millis(5);
+
 /// The period over which lines of one kind are counted.
 const PERIOD: Duration = Duration::from_secs(1);
 
@@ -97,6 +100,15 @@
         false
     }
 
+    /// Waits until all lines are written, at most for `limit`: a process that ends would
+    /// otherwise take its last lines with it.
+    pub fn drain(&self, limit: Duration) {
+        let until = Instant::now() + limit;
+        while self.waiting.load(Ordering::Relaxed) > 0 && Instant::now() < until {
+            thread::sleep(DRAIN);
+        }
+    }
+
     /// What was left out in the last period, if that is over.
     #[must_use]
     pub fn omissions(&self) -> Vec<Omission> {
--- a/crates/cassiarock-process/tests/outlet.rs
+++ b/crates/cassiarock-process/tests/outlet.rs
@@ -97,3 +97,27 @@
     let expected: String = (0..100).map(|number| format!("line {number}\n")).collect();
     assert_eq!(String::from_utf8_lossy(&written), expected);
 }
+
+// The line that says that a process has stopped was never seen: the process ended first.
+#[test]
+fn the_last_lines_of_a_process_that_ends_are_written() {
+    let kept = Kept::default();
+    let outlet = Outlet::new(kept.clone());
+    assert!(outlet.push("stopped", false, "stopped".to_owned()));
+    outlet.drain(Duration::from_secs(5));
+    let written = kept.0.lock().unwrap_or_else(PoisonError::into_inner);
+    assert_eq!(String::from_utf8_lossy(&written), "stopped\n");
+}
+
+#[test]
+fn a_process_that_ends_does_not_wait_for_a_reader_that_has_stopped() {
+    let (outlet, _go) = stuck();
+    assert!(outlet.push("stopped", false, "stopped".to_owned()));
+    let began = Instant::now();
+    outlet.drain(Duration::from_millis(200));
+    assert!(
+        began.elapsed() < Duration::from_secs(2),
+        "{:?}",
+        began.elapsed()
+    );
+}
--- a/crates/cassiarock-transient/src/host/entries.rs
+++ b/crates/cassiarock-transient/src/host/entries.rs
@@ -36,8 +36,7 @@
     }
 
     /// An entry's heartbeat.
-    pub fn heard(&mut self, entry: &Process, echo: Duration, version: u64) {
-        self.version = self.version.max(version);
+    pub fn heard(&mut self, entry: &Process, echo: Duration) {
         if let Some(owner) = self.owners.get_mut(entry) {
             owner.heard(echo);
         }
@@ -65,7 +64,6 @@
     pub(super) fn beat_for(&self, entry: &Process, now: Duration) -> Action {
         let message = Message::AgentBeat {
             clock: millis(now),
-            version: self.version,
             load: self.load(entry, now),
         };
         Action::Send(entry.clone(), message)
--- a/crates/cassiarock-transient/src/host/mod.rs
+++ b/crates/cassiarock-transient/src/host/mod.rs
@@ -60,7 +60,6 @@
     /// life of the agent may have tasks on it, so nothing is started.
     is_known: bool,
     is_leaving: bool,
-    version: u64,
 }
 
 impl Host {
@@ -92,12 +91,6 @@
         self.seen
     }
 
-    /// The newest version of the configuration that an entry has told.
-    #[must_use]
-    pub const fn version(&self) -> u64 {
-        self.version
-    }
-
     /// Carries out what is due.
     pub fn poll(&mut self, now: Duration) -> Vec<Action> {
         let mut actions = Vec::new();
--- a/crates/cassiarock-transient/src/job.rs
+++ b/crates/cassiarock-transient/src/job.rs
@@ -81,8 +81,6 @@
     pub slack: f64,
     /// ... and this much more.
     pub target: Duration,
-    /// 0 is the most urgent.
-    pub priority: u32,
     /// The version of the configuration that says so.
     pub version: u64,
 }
--- a/crates/cassiarock-transient/src/message.rs
+++ b/crates/cassiarock-transient/src/message.rs
@@ -153,8 +153,6 @@
     AgentBeat {
         /// The agent's clock in milliseconds.
         clock: u64,
-        /// The newest version of the configuration that the agent has heard of.
-        version: u64,
         /// What its upstream can take.
         load: Load,
     },
--- a/crates/cassiarock-transient/src/scheduler/mod.rs
+++ b/crates/cassiarock-transient/src/scheduler/mod.rs
@@ -214,7 +214,7 @@
         agent.heard = now;
         self.is_stirred = true;
         match message {
-            Message::AgentBeat { clock, load, .. } => {
+            Message::AgentBeat { clock, load } => {
                 agent.clock = agent.clock.max(clock);
                 agent.update(load);
             }
--- a/crates/cassiarock-transient/tests/host/lives.rs
+++ b/crates/cassiarock-transient/tests/host/lives.rs
@@ -68,7 +68,7 @@
 fn the_tasks_of_an_entry_that_is_out_of_reach_are_stopped() {
     let mut world = World::new();
     running(&mut world);
-    world.host.heard(&entry(1), world.now, 1);
+    world.host.heard(&entry(1), world.now);
     world.host.unlink(&entry(1));
     world.now += CONTACT - ms(10);
     world.poll();
@@ -87,7 +87,7 @@
     let last = world.now;
     for _ in 0..60 {
         world.now += ms(10);
-        world.host.heard(&entry(1), last, 1);
+        world.host.heard(&entry(1), last);
         world.poll();
         let is_over = world.now >= last + CONTACT;
         assert_eq!(!world.stops.is_empty(), is_over, "at {:?}", world.now);
@@ -104,7 +104,7 @@
     let renewed = world.now;
     while world.end_of(1).is_none() {
         world.now += ms(10);
-        world.host.heard(&entry(1), world.now, 1);
+        world.host.heard(&entry(1), world.now);
         world.host.renew(world.now);
         world.poll();
         assert!(world.now < renewed + ms(2_000));
--- a/crates/cassiarock-transient/tests/host/world.rs
+++ b/crates/cassiarock-transient/tests/host/world.rs
@@ -127,7 +127,7 @@
     pub fn pass(&mut self, millis: u64) {
         for _ in 0..millis / 10 {
             self.now += ms(10);
-            self.host.heard(&entry(1), self.now, 1);
+            self.host.heard(&entry(1), self.now);
             self.poll();
         }
     }
--- a/crates/cassiarock-transient/tests/scheduler/world.rs
+++ b/crates/cassiarock-transient/tests/scheduler/world.rs
@@ -94,7 +94,6 @@
         let load = self.load(agent, room);
         let message = Message::AgentBeat {
             clock: u64::try_from(self.now.as_millis()).unwrap(),
-            version: 0,
             load,
         };
         self.tell(agent, message);
@@ -206,7 +205,6 @@
         attempts: 2,
         slack: 1.6,
         target: ms(60),
-        priority: 0,
         version: 1,
     })
 }
@@ -283,12 +281,7 @@
 
     fn beat_load(&mut self, agent: &Process, load: Load) {
         let clock = u64::try_from(self.now.as_millis()).unwrap();
-        let version = 0;
-        let message = Message::AgentBeat {
-            clock,
-            version,
-            load,
-        };
+        let message = Message::AgentBeat { clock, load };
         self.tell(agent, message);
     }
 
--- a/src/bin/cassiarockd/logging.rs
+++ b/src/bin/cassiarockd/logging.rs
@@ -86,6 +86,9 @@
         .start()
 }
 
+/// How long a process that ends waits for its last lines to be written.
+const LAST: Duration = Duration::from_millis(200);
+
 /// Hands lines over to an outlet.
 struct Bounded {
     outlet: Outlet,
@@ -121,6 +124,10 @@
         Ok(())
     }
 
+    fn shutdown(&self) {
+        self.outlet.drain(LAST);
+    }
+
     fn max_log_level(&self) -> LevelFilter {
         LevelFilter::Trace
     }
