--- a/crates/cassiarock-transient/src/host/mod.rs
+++ b/crates/cassiarock-transient/src/host/mod.rs
@@ -49,16 +49,22 @@
 /// What an agent knows of its upstream and of the tasks on it.
 #[derive(Debug, Default)]
 pub struct Host {
+    /// The upstream's present life, as its last report says.
     worker: Option<Worker>,
+    /// What has been ordered and has not ended.
     runs: Runs,
+    /// The entries that have tasks here, or are linked.
     owners: BTreeMap<Process, Owner>,
+    /// What the latest ends tell of the upstream.
     health: Health,
+    /// The upstream's clock and leases.
     lease: Lease,
     /// Ends of the upstream up to this number have been taken.
     seen: u64,
     /// Whether the upstream has been looked at in its present life. Until then an earlier
     /// life of the agent may have tasks on it, so nothing is started.
     is_known: bool,
+    /// Whether this agent takes no new work.
     is_leaving: bool,
 }
 
--- a/crates/cassiarock-transient/src/scheduler/mod.rs
+++ b/crates/cassiarock-transient/src/scheduler/mod.rs
@@ -80,13 +80,19 @@
     works: HashMap<u64, Work>,
     /// Jobs with tasks that wait, the one that has to start first at the front.
     queue: BTreeSet<Place>,
+    /// How much work is being placed.
     rate: Rate,
+    /// How long tasks run in terms of their estimates.
     ratios: Ratios,
+    /// When it was last polled: a gap shows a freeze.
     polled: Duration,
+    /// Until when nothing is placed after a freeze.
     paused: Duration,
+    /// When all that depends on time alone was last looked at.
     checked: Duration,
     /// The median of the upstreams' pace, in hundredths.
     median: f64,
+    /// The version of the configuration in force.
     version: u64,
     /// Whether something has come since the last poll that may allow tasks to be placed.
     is_stirred: bool,
--- a/crates/cassiarock-transient/src/timing.rs
+++ b/crates/cassiarock-transient/src/timing.rs
@@ -1,8 +1,8 @@
 //! The times that keep a task from running twice at once.
 //!
 //! An entry that has lost an agent starts the agent's tasks elsewhere at `RECLAIM` after it
-//! last heard from it. That is safe without any agreement: each frame of an entry echoes the
-//! agent's own clock as the entry last heard it, and the agent acts for an entry only up to
+//! last heard from it. That is safe without any agreement: orders and heartbeats of an entry echo
+//! the agent's own clock as the entry last heard it, and the agent acts for an entry only up to
 //! `CONTACT` after that echo. If the agent dies or freezes before it has stopped the tasks,
 //! the upstream's own lease ends them `LEASE` after the last renewal.
 
@@ -13,7 +13,8 @@
 /// that gets no processor for a quarter of a second.
 pub const CONTACT: Duration = Duration::from_millis(500);
 
-/// What the agent asks of the upstream at each renewal: three renewals fit into it.
+/// What the agent asks of the upstream at each renewal, with each look, some 40 ms apart: an
+/// agent that gets no processor for half a second loses nothing.
 pub const LEASE: Duration = Duration::from_millis(600);
 
 /// A stop takes up to 50 ms at the upstream and its order some milliseconds; the upstream's
