--- a/tests/platform/explain.rs
+++ b/tests/platform/explain.rs
@@ -1,6 +1,6 @@
 //! From a request's id to its cause, as docs/OPERATIONS.md describes it.
 
-use crate::job::{PATIENCE, Reply, submit, submit_at};
+use crate::job::{PATIENCE, Reply, hand_in, submit, submit_at};
 use crate::site::{Site, body};
 use std::process::Command;
 use std::time::Duration;
@@ -84,8 +84,7 @@
 async fn a_request_of_a_process_that_died_leads_to_that_process() {
     let mut site = Site::start(1, 1).await;
     let id = "00000000000000e2";
-    let url = site.entries[0].job(id);
-    let job = tokio::spawn(async move { submit_at(&url, id, &body(2, 3_000), PATIENCE * 2).await });
+    let job = hand_in(&site.entries[0], id, body(2, 3_000), PATIENCE * 2);
     while site.witness.runs().len() < 2 {
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
--- a/tests/platform/failures.rs
+++ b/tests/platform/failures.rs
@@ -1,6 +1,6 @@
 //! Failures, and what callers see of them.
 
-use crate::job::{PATIENCE, Reply, completed, submit, submit_at};
+use crate::job::{PATIENCE, Reply, completed, hand_in, submit};
 use crate::site::{Site, body};
 use cassiarock_test_support::proxy::Fault;
 use std::time::{Duration, Instant};
@@ -22,8 +22,7 @@
 async fn a_job_of_an_entry_that_died_runs_again_elsewhere_and_never_twice_at_once() {
     let mut site = Site::start(2, 2).await;
     let id = "00000000000000c0";
-    let url = site.entries[0].job(id);
-    let first = tokio::spawn(async move { submit_at(&url, id, &body(6, 2_500), PATIENCE).await });
+    let first = hand_in(&site.entries[0], id, body(6, 2_500), PATIENCE);
     begun(&site, id).await;
     site.entries[0].process.kill();
     assert_eq!(first.await.unwrap(), Reply::Nothing);
@@ -42,9 +41,8 @@
 async fn the_tasks_of_a_frozen_agent_run_elsewhere_and_never_twice_at_once() {
     let site = Site::start(1, 2).await;
     let id = "00000000000000c1";
-    let url = site.entries[0].job(id);
     let patience = Duration::from_secs(12);
-    let job = tokio::spawn(async move { submit_at(&url, id, &body(8, 2_000), patience).await });
+    let job = hand_in(&site.entries[0], id, body(8, 2_000), patience);
     begun(&site, id).await;
     tokio::time::sleep(Duration::from_millis(200)).await;
     site.agents[0].process.pause();
@@ -63,8 +61,7 @@
 async fn reset_links_cost_no_run() {
     let site = Site::start(1, 2).await;
     let id = "00000000000000c2";
-    let url = site.entries[0].job(id);
-    let job = tokio::spawn(async move { submit_at(&url, id, &body(6, 900), PATIENCE).await });
+    let job = hand_in(&site.entries[0], id, body(6, 900), PATIENCE);
     begun(&site, id).await;
     tokio::time::sleep(Duration::from_millis(100)).await;
     site.entries[0].proxy.set_all(Fault::Reset);
@@ -78,9 +75,8 @@
 async fn silent_links_are_found_and_replaced() {
     let site = Site::start(1, 2).await;
     let id = "00000000000000c3";
-    let url = site.entries[0].job(id);
     let patience = Duration::from_secs(12);
-    let job = tokio::spawn(async move { submit_at(&url, id, &body(6, 600), patience).await });
+    let job = hand_in(&site.entries[0], id, body(6, 600), patience);
     begun(&site, id).await;
     use cassiarock_test_support::proxy::{Direction, Scope};
     let proxy = &site.entries[0].proxy;
@@ -97,8 +93,7 @@
 async fn the_tasks_of_an_upstream_that_restarted_run_again_at_once() {
     let mut site = Site::start(1, 2).await;
     let id = "00000000000000c4";
-    let url = site.entries[0].job(id);
-    let job = tokio::spawn(async move { submit_at(&url, id, &body(6, 700), PATIENCE).await });
+    let job = hand_in(&site.entries[0], id, body(6, 700), PATIENCE);
     begun(&site, id).await;
     tokio::time::sleep(Duration::from_millis(100)).await;
     let witness = site.witness.clone();
--- a/tests/platform/job.rs
+++ b/tests/platform/job.rs
@@ -23,7 +23,18 @@
     submit_at(&entry.job(id), id, body, patience).await
 }
 
-/// The same at an address.
+/// Hands a job in at an entry, to be waited for later.
+pub fn hand_in(
+    entry: &Entry,
+    id: &'static str,
+    body: Value,
+    patience: Duration,
+) -> tokio::task::JoinHandle<Reply> {
+    let url = entry.job(id);
+    tokio::spawn(async move { submit_at(&url, id, &body, patience).await })
+}
+
+/// The same as [`submit`] at an address.
 pub async fn submit_at(url: &str, id: &str, body: &Value, patience: Duration) -> Reply {
     let client = reqwest::Client::builder().no_proxy().build().unwrap();
     let call = client
--- a/tests/platform/leaving.rs
+++ b/tests/platform/leaving.rs
@@ -1,6 +1,6 @@
 //! Processes that are stopped, restarted or told of new settings.
 
-use crate::job::{PATIENCE, completed, submit, submit_at};
+use crate::job::{PATIENCE, completed, hand_in, submit};
 use crate::site::{Site, body};
 use std::time::Duration;
 
@@ -22,8 +22,7 @@
 async fn an_entry_that_is_told_to_end_answers_what_it_has_taken() {
     let mut site = Site::start(1, 1).await;
     let id = "00000000000000b1";
-    let url = site.entries[0].job(id);
-    let job = tokio::spawn(async move { submit_at(&url, id, &body(4, 800), PATIENCE).await });
+    let job = hand_in(&site.entries[0], id, body(4, 800), PATIENCE);
     while !site.witness.has_begun(id) {
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
@@ -40,8 +39,7 @@
 async fn an_agent_that_is_told_to_end_finishes_its_tasks_and_takes_no_more() {
     let mut site = Site::start(1, 2).await;
     let id = "00000000000000b2";
-    let url = site.entries[0].job(id);
-    let job = tokio::spawn(async move { submit_at(&url, id, &body(8, 800), PATIENCE).await });
+    let job = hand_in(&site.entries[0], id, body(8, 800), PATIENCE);
     while site.witness.runs().len() < 8 {
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
