End a process when a part of it is gone

Cause: a panic ended only the task that it happened in. An entry whose actor panicked went on listening: callers got 502, the balancer's question was answered, and agents dialled it again for ever; nobody looked at the end of the tasks. Ruled out: aborting on every panic, as one in the reading of one caller's request would then end all jobs of the process.

Now each task of a process belongs to its Parts; the panic of any, or the end of one that the others need, ends the process with exit code 1, and a panic is a line of the log. cassiarock_entry::run and cassiarock_agent::run, which nothing called, are gone.

--- a/crates/cassiarock-agent/src/lib.rs
+++ b/crates/cassiarock-agent/src/lib.rs
@@ -10,4 +10,4 @@
 mod work;
 
 pub use error::Error;
-pub use run::{Running, run};
+pub use run::Running;
--- a/crates/cassiarock-agent/src/run.rs
+++ b/crates/cassiarock-agent/src/run.rs
@@ -11,7 +11,8 @@
 use cassiarock_platform::{Follower, Log};
 use cassiarock_policy::slot;
 use cassiarock_process::{
-    BACKLOG, Clock, Monitor, Pump, Report, Stage, Status, forward, forward_latest, until,
+    BACKLOG, Clock, Fault, Monitor, Parts, Pump, Report, Stage, Status, forward, forward_latest,
+    until,
 };
 use cassiarock_rule::Member;
 use cassiarock_rule::request::Need;
@@ -23,23 +24,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
-use tokio::task::JoinSet;
 
 /// Announcements count memory in megabytes of 2^20 bytes, as callers declare it.
 const MEGABYTE: usize = 1 << 20;
 
-/// Runs an agent until `shutdown` asks it to end.
-///
-/// # Errors
-/// If a listener or a client cannot be set up; nothing has run then.
-pub async fn run(
-    settings: settings::Agent,
-    shutdown: watch::Receiver<Stage>,
-) -> Result<Report, Error> {
-    let running = Running::start(settings).await?;
-    Ok(running.until(shutdown).await)
-}
-
 /// An agent that listens and has begun to announce itself.
 #[derive(Debug)]
 pub struct Running {
@@ -54,7 +42,7 @@
     drain_limit: Duration,
     /// Whether the worker has said that it is about to go.
     worker_leaving: watch::Receiver<bool>,
-    tasks: JoinSet<()>,
+    parts: Parts,
 }
 
 impl Running {
@@ -88,36 +76,37 @@
         let (status, statuses) = watch::channel(first);
 
         let (notice, worker_leaving) = watch::channel(false);
-        let mut tasks = JoinSet::new();
-        tasks.spawn(act(
-            &settings,
-            &process,
-            (worker.clone(), follower.clone()),
-            &inputs,
-            status,
-            received,
-        ));
-        tasks.spawn(listen(
-            listener,
-            identity.clone(),
-            key.clone(),
-            inputs.clone(),
-        ));
-        tasks.spawn(forward_latest(
-            follower.subscribe(),
-            inputs.clone(),
-            Input::Adopt,
-        ));
-        tasks.spawn(health::watch(
-            worker,
-            settings.health.clone(),
-            inputs.clone(),
-            notice,
-        ));
-        tasks.spawn(monitor.run(statuses.clone(), state_of(&follower)));
+        let mut parts = Parts::default();
+        parts.spawn_vital(
+            "the actor",
+            act(
+                &settings,
+                &process,
+                (worker.clone(), follower.clone()),
+                &inputs,
+                status,
+                received,
+            ),
+        );
+        parts.spawn_vital(
+            "the listener for links",
+            listen(listener, identity.clone(), key.clone(), inputs.clone()),
+        );
+        parts.spawn(
+            "changes of the state",
+            forward_latest(follower.subscribe(), inputs.clone(), Input::Adopt),
+        );
+        parts.spawn(
+            "health checks",
+            health::watch(worker, settings.health.clone(), inputs.clone(), notice),
+        );
+        parts.spawn(
+            "the monitor",
+            monitor.run(statuses.clone(), state_of(&follower)),
+        );
         let monitored = settings.metrics_public.unwrap_or(monitor_address);
         let member = member(&settings, process, address).with_status(monitored);
-        tasks.spawn({
+        parts.spawn("the announcement", {
             let (log, follower) = (log.clone(), follower.clone());
             async move { announce::join(log, &follower, member).await }
         });
@@ -132,7 +121,7 @@
             monitor: monitor_address,
             drain_limit: settings.drain_limit,
             worker_leaving,
-            tasks,
+            parts,
         })
     }
 
@@ -155,19 +144,26 @@
     }
 
     /// Serves until `shutdown` asks it to end, and says what was cut.
-    pub async fn until(mut self, mut shutdown: watch::Receiver<Stage>) -> Report {
-        self.serve(&mut shutdown).await;
+    ///
+    /// # Errors
+    /// If one of its parts is gone before that.
+    pub async fn until(mut self, mut shutdown: watch::Receiver<Stage>) -> Result<Report, Fault> {
+        let mut parts = std::mem::take(&mut self.parts);
+        tokio::select! {
+            () = self.serve(&mut shutdown) => {}
+            fault = parts.fault() => return Err(fault),
+        }
         tokio::select! {
             () = self.drain() => {}
             () = until(&mut shutdown, Stage::Stop) => {}
             () = tokio::time::sleep(self.drain_limit) => {}
         }
-        self.tasks.shutdown().await;
+        parts.shutdown().await;
         let status = self.status.borrow();
-        Report {
+        Ok(Report {
             jobs: 0,
             tasks: status.waiting + status.running,
-        }
+        })
     }
 
     /// Serves until the agent is to go: by signal, by its worker's notice or by order. An order can be taken back
--- a/crates/cassiarock-dispatch/src/error.rs
+++ b/crates/cassiarock-dispatch/src/error.rs
@@ -1,6 +1,6 @@
-//! Why a process could not start.
+//! Why a process could not start or go on.
 
-/// A listener or a client could not be set up; nothing has been served.
+/// A listener or a client could not be set up, or a part of the process is gone.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
     /// The platform's side.
@@ -13,4 +13,7 @@
     /// class that has it, and let the role serve it.
     #[error("the settings name no address for {0}")]
     Address(&'static str),
+    /// A part of the process is gone.
+    #[error(transparent)]
+    Part(#[from] cassiarock_process::Fault),
 }
--- a/crates/cassiarock-dispatch/src/run/agent.rs
+++ b/crates/cassiarock-dispatch/src/run/agent.rs
@@ -9,14 +9,13 @@
 use cassiarock_adapter::{Settings, Store, Worker, reports};
 use cassiarock_id::{Process, Wall};
 use cassiarock_peer::{Event, Identity, Key};
-use cassiarock_process::{BACKLOG, Clock, Report, Stage, Status, forward, until};
+use cassiarock_process::{BACKLOG, Clock, Parts, Report, Stage, Status, forward, until};
 use cassiarock_transient::Host;
 use cassiarock_wire::Role;
 use kameo::actor::Spawn;
 use std::collections::HashMap;
 use std::path::PathBuf;
 use tokio::sync::{mpsc, watch};
-use tokio::task::JoinSet;
 
 /// Runs an agent until `asked` says that it shall end.
 ///
@@ -28,8 +27,11 @@
     mut asked: watch::Receiver<Stage>,
 ) -> Result<Report, Error> {
     let grace = settings.grace;
-    let running = Running::start(file, settings).await?;
-    until(&mut asked, Stage::Drain).await;
+    let mut running = Running::start(file, settings).await?;
+    tokio::select! {
+        () = until(&mut asked, Stage::Drain) => {}
+        fault = running.parts.fault() => return Err(fault.into()),
+    }
     log::info!("leaving");
     // The actor takes inputs as long as its task runs.
     let _ = running.inputs.send(Input::Leave).await;
@@ -43,7 +45,7 @@
 struct Running {
     inputs: mpsc::Sender<Input>,
     statuses: watch::Receiver<Status>,
-    _tasks: JoinSet<()>,
+    parts: Parts,
 }
 
 impl Running {
@@ -63,27 +65,42 @@
         let orders = Orders::new(Worker::new(upstream)?, inputs.clone());
         let actor = Agent::spawn(new(identity, events, orders.clone(), status));
 
-        let mut tasks = JoinSet::new();
-        tasks.spawn(drive(received, move |batch| {
-            let actor = actor.clone();
-            async move { actor.ask(Batch(batch)).await.ok() }
-        }));
-        tasks.spawn(forward(seen, inputs.clone(), Input::Link));
-        tasks.spawn(forward(reported, inputs.clone(), Input::Report));
-        tasks.spawn(forward(addresses, inputs.clone(), Input::Entry));
-        tasks.spawn(orders.look());
+        let mut parts = Parts::default();
+        parts.spawn_vital(
+            "the actor",
+            drive(received, move |batch| {
+                let actor = actor.clone();
+                async move { actor.ask(Batch(batch)).await.ok() }
+            }),
+        );
+        parts.spawn("news of links", forward(seen, inputs.clone(), Input::Link));
+        parts.spawn("reports", forward(reported, inputs.clone(), Input::Report));
+        parts.spawn(
+            "addresses",
+            forward(addresses, inputs.clone(), Input::Entry),
+        );
+        parts.spawn_vital("looks at the upstream", orders.look());
         for seed in &settings.seeds {
             // The actor takes inputs as long as its task runs.
             let _ = inputs.send(Input::Entry(*seed)).await;
         }
-        tasks.spawn(reload(file, settings.clone(), found.clone()));
-        tasks.spawn(directory::addresses(store, found));
-        tasks.spawn(serve(listener, reports::router(reporting)));
-        monitor(&settings, &statuses, &mut tasks).await?;
+        parts.spawn(
+            "changes of the settings",
+            reload(file, settings.clone(), found.clone()),
+        );
+        parts.spawn_vital(
+            "the directory of entries",
+            directory::addresses(store, found),
+        );
+        parts.spawn_vital(
+            "the server for reports",
+            serve(listener, reports::router(reporting)),
+        );
+        monitor(&settings, &statuses, &mut parts).await?;
         Ok(Self {
             inputs,
             statuses,
-            _tasks: tasks,
+            parts,
         })
     }
 
--- a/crates/cassiarock-dispatch/src/run/entry.rs
+++ b/crates/cassiarock-dispatch/src/run/entry.rs
@@ -10,7 +10,7 @@
 use cassiarock_caller::Limit;
 use cassiarock_id::{Process, Wall};
 use cassiarock_peer::{Dialer, Event, Identity, Key, Listener};
-use cassiarock_process::{BACKLOG, Clock, Report, Stage, Status, forward, until};
+use cassiarock_process::{BACKLOG, Clock, Fault, Parts, Report, Stage, Status, forward, until};
 use cassiarock_transient::{Scheduler, Table};
 use cassiarock_wire::Role;
 use kameo::actor::Spawn;
@@ -22,7 +22,7 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
-use tokio::task::{JoinHandle, JoinSet};
+use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
 /// How long a leaving entry still takes connections: the balancer asks once a second and
@@ -50,8 +50,11 @@
     mut asked: watch::Receiver<Stage>,
 ) -> Result<Report, Error> {
     let grace = settings.grace;
-    let running = Running::start(file, settings).await?;
-    until(&mut asked, Stage::Drain).await;
+    let mut running = Running::start(file, settings).await?;
+    tokio::select! {
+        () = until(&mut asked, Stage::Drain) => {}
+        fault = running.fault() => return Err(fault.into()),
+    }
     log::info!("leaving");
     running.is_leaving.store(true, Ordering::Relaxed);
     // The actor takes inputs as long as its task runs.
@@ -71,7 +74,7 @@
     /// Tells the callers' server to finish what it has.
     close: watch::Sender<Stage>,
     server: JoinHandle<()>,
-    _tasks: JoinSet<()>,
+    parts: Parts,
 }
 
 impl Running {
@@ -91,24 +94,36 @@
         let (table, tables) = watch::channel(None);
         let actor = Entry::spawn(new(table, status));
 
-        let mut tasks = JoinSet::new();
-        tasks.spawn(drive(received, move |batch| {
-            let actor = actor.clone();
-            async move { actor.ask(Batch(batch)).await.ok() }
-        }));
+        let mut parts = Parts::default();
+        parts.spawn_vital(
+            "the actor",
+            drive(received, move |batch| {
+                let actor = actor.clone();
+                async move { actor.ask(Batch(batch)).await.ok() }
+            }),
+        );
         let key = Key::new(KEY);
-        tasks.spawn(links.run(identity.clone(), key, events.clone()));
-        tasks.spawn(forward(seen, inputs.clone(), Input::Link));
-        tasks.spawn(pass_on(asking, inputs.clone()));
+        parts.spawn_vital(
+            "the listener for links",
+            links.run(identity.clone(), key, events.clone()),
+        );
+        parts.spawn("news of links", forward(seen, inputs.clone(), Input::Link));
+        parts.spawn("calls", pass_on(asking, inputs.clone()));
         for seed in &settings.seeds {
             // Its receiver is held by the dialling task.
             let _ = seeds.try_send(*seed);
         }
-        tasks.spawn(reload(file, settings.clone(), seeds));
-        tasks.spawn(dial(seeded, identity, events));
-        tasks.spawn(directory::announce(store.clone(), settings.peers, process));
-        tasks.spawn(configurations(store, inputs.clone()));
-        monitor(&settings, &statuses, &mut tasks).await?;
+        parts.spawn(
+            "changes of the settings",
+            reload(file, settings.clone(), seeds),
+        );
+        parts.spawn("links to entries", dial(seeded, identity, events));
+        parts.spawn(
+            "the announcement",
+            directory::announce(store.clone(), settings.peers, process),
+        );
+        parts.spawn_vital("the configuration", configurations(store, inputs.clone()));
+        monitor(&settings, &statuses, &mut parts).await?;
         let is_leaving = Arc::new(AtomicBool::new(false));
         let configured_by = Instant::now() + CONFIGURED;
         let door = Door::new(calls, tables, is_leaving.clone(), configured_by);
@@ -120,10 +135,19 @@
             is_leaving,
             close,
             server,
-            _tasks: tasks,
+            parts,
         })
     }
 
+    /// Waits until a part is gone that the others cannot do without.
+    async fn fault(&mut self) -> Fault {
+        let part = "the server for callers";
+        tokio::select! {
+            fault = self.parts.fault() => fault,
+            _ = &mut self.server => Fault { part },
+        }
+    }
+
     /// Lets the balancer take the entry out, then ends idle connections and waits for the
     /// others.
     async fn answer_all(self) {
--- a/crates/cassiarock-dispatch/src/run/mod.rs
+++ b/crates/cassiarock-dispatch/src/run/mod.rs
@@ -11,13 +11,12 @@
 use cassiarock_adapter::{Settings, reports};
 use cassiarock_id::Process;
 use cassiarock_peer::Identity;
-use cassiarock_process::{Monitor, Pump, Stage, Status, until};
+use cassiarock_process::{Monitor, Parts, Pump, Stage, Status, until};
 use cassiarock_wire::Role;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
-use tokio::task::JoinSet;
 
 /// The platform's settings hold no secret. The key keeps processes of other systems apart
 /// that dial by mistake; it is no protection against an attacker on the platform's network.
@@ -79,18 +78,21 @@
 async fn monitor(
     settings: &Settings,
     statuses: &watch::Receiver<Status>,
-    tasks: &mut JoinSet<()>,
+    parts: &mut Parts,
 ) -> Result<(), Error> {
     if let Some(address) = settings.readiness {
         let known = statuses.clone();
         let is_ready = move || known.borrow().ready;
         let listener = bind(address).await?;
-        tasks.spawn(serve(listener, reports::readiness(is_ready)));
+        parts.spawn("readiness", serve(listener, reports::readiness(is_ready)));
     }
     // Jobs are served also without metrics.
     match Monitor::bind(settings.monitor).await {
         Ok(monitor) => {
-            tasks.spawn(monitor.run(statuses.clone(), axum::Router::new()));
+            parts.spawn(
+                "metrics",
+                monitor.run(statuses.clone(), axum::Router::new()),
+            );
         }
         Err(error) => log::warn!("no metrics: {error}"),
     }
--- a/crates/cassiarock-entry/src/lib.rs
+++ b/crates/cassiarock-entry/src/lib.rs
@@ -8,4 +8,4 @@
 mod state;
 
 pub use error::Error;
-pub use run::{Addresses, Running, run};
+pub use run::{Addresses, Running};
--- a/crates/cassiarock-entry/src/run.rs
+++ b/crates/cassiarock-entry/src/run.rs
@@ -10,7 +10,8 @@
 use cassiarock_platform::{Follower, Log};
 use cassiarock_policy::dispatch;
 use cassiarock_process::{
-    BACKLOG, Clock, Monitor, Pump, Report, Stage, Status, forward, forward_latest, until,
+    BACKLOG, Clock, Fault, Monitor, Parts, Pump, Report, Stage, Status, forward, forward_latest,
+    until,
 };
 use cassiarock_settings as settings;
 use cassiarock_wire::Role;
@@ -21,23 +22,11 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
-use tokio::task::{JoinHandle, JoinSet};
+use tokio::task::JoinHandle;
 
 /// How long answers on their way to callers may take to leave the sockets.
 const FLUSH: Duration = Duration::from_millis(100);
 
-/// Runs an entry until `shutdown` asks it to end.
-///
-/// # Errors
-/// If a listener or a client cannot be set up; nothing has been served then.
-pub async fn run(
-    settings: settings::Entry,
-    shutdown: watch::Receiver<Stage>,
-) -> Result<Report, Error> {
-    let running = Running::start(settings).await?;
-    Ok(running.until(shutdown).await)
-}
-
 /// Where a running entry listens.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Addresses {
@@ -61,7 +50,7 @@
     /// Tells the callers' server to finish what it has.
     close: watch::Sender<Stage>,
     server: JoinHandle<()>,
-    tasks: JoinSet<()>,
+    parts: Parts,
 }
 
 impl Running {
@@ -121,20 +110,25 @@
 
         let known = follower.subscribe();
         let known = cassiarock_process::state(move || known.borrow().state.clone());
-        let mut tasks = JoinSet::new();
-        tasks.spawn(act(entry, received));
-        tasks.spawn(listener.run(identity, key, events));
-        tasks.spawn(forward(seen, inputs.clone(), Input::Link));
-        tasks.spawn(forward(asked, inputs.clone(), Input::Call));
-        tasks.spawn(forward_latest(
-            follower.subscribe(),
-            inputs.clone(),
-            Input::Adopt,
-        ));
-        tasks.spawn(monitor.run(
-            statuses.clone(),
-            explain::router(inputs.clone()).merge(known),
-        ));
+        let mut parts = Parts::default();
+        parts.spawn_vital("the actor", act(entry, received));
+        parts.spawn_vital(
+            "the listener for links",
+            listener.run(identity, key, events),
+        );
+        parts.spawn("news of links", forward(seen, inputs.clone(), Input::Link));
+        parts.spawn("calls", forward(asked, inputs.clone(), Input::Call));
+        parts.spawn(
+            "changes of the state",
+            forward_latest(follower.subscribe(), inputs.clone(), Input::Adopt),
+        );
+        parts.spawn(
+            "the monitor",
+            monitor.run(
+                statuses.clone(),
+                explain::router(inputs.clone()).merge(known),
+            ),
+        );
         let (close, closing) = watch::channel(Stage::Run);
         let server = tokio::spawn(serve(callers, limit(&settings.limits), calls, closing));
         Ok(Self {
@@ -146,7 +140,7 @@
             _follower: follower,
             close,
             server,
-            tasks,
+            parts,
         })
     }
 
@@ -163,8 +157,15 @@
     }
 
     /// Serves until `shutdown` asks it to end, and says what was cut.
-    pub async fn until(mut self, mut shutdown: watch::Receiver<Stage>) -> Report {
-        until(&mut shutdown, Stage::Drain).await;
+    ///
+    /// # Errors
+    /// If one of its parts is gone before that.
+    pub async fn until(mut self, mut shutdown: watch::Receiver<Stage>) -> Result<Report, Fault> {
+        tokio::select! {
+            () = until(&mut shutdown, Stage::Drain) => {}
+            fault = self.parts.fault() => return Err(fault),
+            _ = &mut self.server => return Err(Fault { part: "the server for callers" }),
+        }
         let limit = self.drain_limit;
         tokio::select! {
             () = self.drain() => {}
@@ -172,12 +173,12 @@
             () = tokio::time::sleep(limit) => {}
         }
         self.server.abort();
-        self.tasks.shutdown().await;
+        self.parts.shutdown().await;
         let status = self.status.borrow();
-        Report {
+        Ok(Report {
             jobs: status.jobs,
             tasks: status.waiting + status.running,
-        }
+        })
     }
 
     async fn drain(&mut self) {
--- a/src/bin/cassiarockd/logging.rs
+++ b/src/bin/cassiarockd/logging.rs
@@ -22,6 +22,7 @@
 
 /// Starts logging. Lines still buffered are written when the handle is dropped.
 pub fn start(format: Format) -> Result<LoggerHandle, FlexiLoggerError> {
+    tell_panics();
     let logger = Logger::try_with_env_or_str(LEVEL)?
         .log_to_stderr()
         .write_mode(WriteMode::BufferAndFlushWith(BUFFER, FLUSH));
@@ -31,6 +32,12 @@
     }
 }
 
+/// Logs each panic, with its place. Whether the process goes on depends on the part that it
+/// happened in.
+fn tell_panics() {
+    std::panic::set_hook(Box::new(|panic| log::error!("panic: {panic}")));
+}
+
 /// Time, level, module, text, then the pairs as `key=value`.
 fn text(out: &mut dyn Write, now: &mut DeferredNow, record: &Record<'_>) -> io::Result<()> {
     let module = record.module_path().unwrap_or_default();
@@ -79,6 +86,7 @@
 /// Starts logging to standard output, one JSON object a line. No line makes the process wait:
 /// under load or before a reader that has stopped, lines are left out and counted.
 pub fn start_bounded(process: &str) -> Result<LoggerHandle, FlexiLoggerError> {
+    tell_panics();
     let outlet = Outlet::new(io::stdout());
     let process = process.to_owned();
     Logger::try_with_env_or_str(LEVEL)?
--- a/src/bin/cassiarockd/program.rs
+++ b/src/bin/cassiarockd/program.rs
@@ -112,13 +112,13 @@
     let running = cassiarock_entry::Running::start(settings).await?;
     let at = running.addresses();
     log::info!(callers:% = at.callers, peers:% = at.peers, monitor:% = at.monitor; "listening");
-    Ok(running.until(asked).await)
+    Ok(running.until(asked).await?)
 }
 
 async fn agent(settings: Agent, asked: watch::Receiver<Stage>) -> Result<Report, Fault> {
     let running = cassiarock_agent::Running::start(settings).await?;
     log::info!(peers:% = running.peers(), monitor:% = running.monitor(); "listening");
-    Ok(running.until(asked).await)
+    Ok(running.until(asked).await?)
 }
 
 async fn platform(
@@ -128,10 +128,11 @@
     asked: watch::Receiver<Stage>,
 ) -> Result<Report, Fault> {
     log::info!(process = &*settings.name, role:? = role, version = env!("CARGO_PKG_VERSION"), data_centre = &*settings.data_centre, peers:% = settings.peers, store:% = settings.store; "started");
-    Ok(match role {
-        Role::Entry => cassiarock_dispatch::entry(file, settings, asked).await?,
-        Role::Agent => cassiarock_dispatch::agent(file, settings, asked).await?,
-    })
+    let ended = match role {
+        Role::Entry => cassiarock_dispatch::entry(file, settings, asked).await,
+        Role::Agent => cassiarock_dispatch::agent(file, settings, asked).await,
+    };
+    Ok(ended.inspect_err(|error| log::error!("ended: {error}"))?)
 }
 
 fn end(report: Report) -> ExitCode {
