Judge a job by the agents that are there only once they have dialled

Cause: for the first tenths of a second an entry knows one agent, then two. It took their room for all there was and refused callers that had waited for the system's return; and a job that fits only the larger kind of upstream was answered as failed, in those milliseconds as well as whenever the fitting upstreams were away.

While agents come in within 100 ms of each other in the first second, jobs are taken in; a job is called impossible only if no upstream ever known fits it, and refused with a Retry-After otherwise. Three tests, all seen to fail first.

--- a/crates/cassiarock-transient/src/scheduler/admit.rs
+++ b/crates/cassiarock-transient/src/scheduler/admit.rs
@@ -22,7 +22,11 @@
 /// into these milliseconds.
 const START: Duration = Duration::from_secs(1);
 
-/// Without any upstream or configuration, one is expected back within this time.
+/// They have all dialled once none has come for this long: eleven that dial within 300 ms
+/// leave shorter gaps.
+const GAP: Duration = Duration::from_millis(100);
+
+/// Without any upstream for a job, one is expected back within this time.
 const AGAIN_EMPTY: Duration = Duration::from_secs(2);
 
 impl Scheduler {
@@ -35,20 +39,23 @@
             .filter(|agent| agent.is_open(now) && agent.serves(service))
             .collect();
         let line = |what| told(what, work, now).with("upstreams", open.len());
-        if open.is_empty() && now < START {
+        if self.is_gathering(open.len(), now) {
             return Ok(line("admitted").with("reason", "agents are still dialling"));
         }
         if open.is_empty() {
-            let answer = refused(AGAIN_EMPTY, false);
-            return Err((
-                answer,
-                line("refused").with("reason", "no upstream").failed(),
-            ));
+            return Err(without(line("refused").with("reason", "no upstream")));
         }
         let fits = |demand: &Demand| open.iter().any(|agent| demand.fits(&agent.capacity()));
         if let Some(stage) = work.job.stages.iter().find(|stage| !fits(&stage.demand)) {
-            let line = line("impossible").with("cpu", stage.demand.cpu);
-            return Err((Answer::Failed, line.with("memory", stage.demand.memory)));
+            let inputs = |line: Decision| {
+                line.with("cpu", stage.demand.cpu)
+                    .with("memory", stage.demand.memory)
+            };
+            if self.kinds.fit(service, &stage.demand) {
+                let line = line("refused").with("reason", "the upstreams that it fits are away");
+                return Err(without(inputs(line)));
+            }
+            return Err((Answer::Failed, inputs(line("impossible"))));
         }
         let room: u64 = open.iter().map(|agent| agent.free().cpu).sum();
         let before = self.work_before(work);
@@ -77,6 +84,12 @@
         Ok(line("admitted"))
     }
 
+    /// Whether agents are still dialling this process, which has just started: what it knows
+    /// of the room that there is says nothing yet.
+    fn is_gathering(&self, open: usize, now: Duration) -> bool {
+        now < START && (open == 0 || now < self.joined + GAP)
+    }
+
     /// The processor room that waiting tasks want that go before `work`, and their work in
     /// core-milliseconds.
     fn work_before(&self, work: &Work) -> (u64, f64) {
@@ -105,6 +118,11 @@
         .sum()
 }
 
+/// A refusal for want of any upstream that could run the job.
+fn without(line: Decision) -> (Answer, Decision) {
+    (refused(AGAIN_EMPTY, false), line.failed())
+}
+
 /// A refusal. The pause is spread over half as much again.
 pub(super) fn refused(again: Duration, is_overload: bool) -> Answer {
     let spread = again.mul_f64(rand::random_range(0.0..0.5));
--- a/crates/cassiarock-transient/src/scheduler/mod.rs
+++ b/crates/cassiarock-transient/src/scheduler/mod.rs
@@ -2,6 +2,7 @@
 
 mod admit;
 mod agent;
+mod kinds;
 mod place;
 mod rate;
 mod ratio;
@@ -13,6 +14,7 @@
 use crate::{Class, Decision, Job};
 use agent::Agent;
 use cassiarock_id::{Name, Process};
+use kinds::Kinds;
 use rate::Rate;
 use ratio::Ratios;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -80,6 +82,10 @@
     works: HashMap<u64, Work>,
     /// Jobs with tasks that wait, the one that has to start first at the front.
     queue: BTreeSet<Place>,
+    /// The kinds of upstream known so far.
+    kinds: Kinds,
+    /// When the latest agent joined.
+    joined: Duration,
     /// How much work is being placed.
     rate: Rate,
     /// How long tasks run in terms of their estimates.
@@ -201,7 +207,12 @@
     /// A link to an agent opened.
     pub fn link(&mut self, agent: &Process, now: Duration) {
         let known = self.agents.entry(agent.clone());
-        known.or_insert_with(|| Agent::new(now)).link(now);
+        let joined = &mut self.joined;
+        let known = known.or_insert_with(|| {
+            *joined = now;
+            Agent::new(now)
+        });
+        known.link(now);
     }
 
     /// The last link to an agent is gone.
@@ -233,6 +244,9 @@
                     None => told.with("upstream", "none"),
                 };
                 actions.push(Action::Tell(told));
+                if let Some(upstream) = &upstream {
+                    self.kinds.add(upstream);
+                }
                 agent.upstream = upstream;
             }
             Message::Ended {
--- a/crates/cassiarock-transient/tests/scheduler/answers.rs
+++ b/crates/cassiarock-transient/tests/scheduler/answers.rs
@@ -82,15 +82,8 @@
 #[test]
 fn a_job_that_no_upstream_has_room_for_has_failed_at_once() {
     let mut world = World::new(2);
-    let mut job = crate::world::job(1, 1, 50);
-    job.stages[0].demand.cpu = 11_000;
-    let class = crate::world::class();
-    let actions = world.scheduler.submit(1, job, class, ms(2_000), world.now);
-    let answer = actions.into_iter().find_map(|action| match action {
-        cassiarock_transient::scheduler::Action::Answer(_, answer) => Some(answer),
-        _ => None,
-    });
-    assert_eq!(answer, Some(Answer::Failed));
+    submit_large(&mut world, 1);
+    assert_eq!(world.answer(1), Some(Answer::Failed));
 }
 
 // After a loss of power all processes start at once, and with them come the callers that
@@ -105,6 +98,77 @@
     assert_eq!(world.placed.len(), 1);
 }
 
+// All processes had started at once. An entry that knew one of twelve agents took its room
+// for all there was and refused the callers that had waited, while the others were dialling.
+#[test]
+fn a_job_is_not_refused_for_want_of_room_while_agents_are_still_dialling() {
+    let mut world = World::starting();
+    world.add(crate::world::agent(0));
+    world.beat();
+    for number in 1..=8 {
+        world.submit(number, 5, 200, 2_000);
+    }
+    for number in 1..4 {
+        world.now += ms(30);
+        world.add(crate::world::agent(number));
+        world.beat();
+        world.poll();
+    }
+    assert_eq!(world.answers, std::collections::BTreeMap::new());
+    assert_eq!(world.placed.len(), 40, "all tasks are placed");
+}
+
+// The same at the first of two kinds of upstream, too small for the job: it was answered
+// as failed, which callers take for a fault of their own.
+#[test]
+fn a_job_that_the_first_upstream_is_too_small_for_waits_for_the_others() {
+    let mut world = World::starting();
+    world.add(crate::world::agent(0));
+    world.beat();
+    submit_large(&mut world, 1);
+    assert_eq!(world.answer(1), None);
+}
+
+// Upstreams of the large kind were replaced one after the other. While the last of them was
+// away, jobs that fit only there were answered as failed, as if nothing could ever run them.
+#[test]
+fn a_job_whose_only_fitting_upstream_is_away_is_refused_and_not_called_failed() {
+    let mut world = World::new(1);
+    let large = crate::world::agent(1);
+    world.add(large.clone());
+    let upstream = cassiarock_transient::message::Upstream {
+        id: "u-large".into(),
+        service: "s".into(),
+        capacity: cassiarock_transient::Demand::new(20_000, 2_000, 0),
+        labels: vec![],
+        is_leaving: false,
+    };
+    let message = cassiarock_transient::Message::Upstream(Some(upstream));
+    world.tell(&large, message);
+    world.beat();
+    world.scheduler.unlink(&large);
+    world.pass(1_500);
+    submit_large(&mut world, 1);
+    let answer = world.answer(1);
+    assert!(
+        matches!(
+            answer,
+            Some(Answer::Refused {
+                is_overload: false,
+                ..
+            })
+        ),
+        "{answer:?}"
+    );
+}
+
+/// Submits a job of one task that is larger than the usual upstream.
+fn submit_large(world: &mut World, number: u64) {
+    let mut job = crate::world::job(number, 1, 50);
+    job.stages[0].demand.cpu = 11_000;
+    world.submit_job(number, job, 2_000);
+}
+
 #[test]
 fn a_job_without_any_upstream_is_refused_at_once() {
     let mut world = World::new(0);
--- a/crates/cassiarock-transient/tests/scheduler/world.rs
+++ b/crates/cassiarock-transient/tests/scheduler/world.rs
@@ -111,7 +111,10 @@
     }
 
     pub fn submit(&mut self, number: u64, tasks: u32, estimate: u64, patience: u64) {
-        let job = job(number, tasks, estimate);
+        self.submit_job(number, job(number, tasks, estimate), patience);
+    }
+
+    pub fn submit_job(&mut self, number: u64, job: Job, patience: u64) {
         let actions = self
             .scheduler
             .submit(number, job, class(), ms(patience), self.now);
