Send an unanswered dial again, and dial a peer that announces itself

Cause: a dial to a VM without power is lost, and the agent waited half a second for its answer, also if the entry was back in the meantime; an agent that had read an entry's announcement sat out its pause all the same; and addresses of entries replaced long ago were dialled twice a second for ever.

A dial that is left unanswered is sent again each 100 ms while the first may still be answered, an announcement ends the pause, and a peer that has been away for 20 s is dialled each 1 to 2 s.

--- a/crates/cassiarock-dispatch/src/agent.rs
+++ b/crates/cassiarock-dispatch/src/agent.rs
@@ -100,7 +100,10 @@
                 .gone(&id, "another life of the upstream answers", now),
             Input::Link(event) => self.event(event, now),
             Input::Entry(address) => {
-                self.dial(address);
+                match self.dialers.get(&address) {
+                    Some(dialer) => dialer.nudge(),
+                    None => self.dial(address),
+                }
                 Vec::new()
             }
             Input::Started(task, answer, clock) => self.host.started(&task, answer, clock, now),
--- a/crates/cassiarock-dispatch/src/links.rs
+++ b/crates/cassiarock-dispatch/src/links.rs
@@ -15,12 +15,27 @@
 /// How long a step of a handshake may take on a busy VM.
 const HANDSHAKE: Duration = Duration::from_millis(500);
 
+/// When the opening of a connection is sent again. Within a region it is answered within
+/// 10 ms; an answer that takes longer than this still counts.
+const CONNECT: Duration = Duration::from_millis(100);
+
+/// A peer that has been away for this long has probably been replaced at another address; one
+/// that returns later announces itself.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// The longest pause from then on: 40 addresses of former entries cost an agent 20 dials a
+/// second, as many as two that have just gone.
+const REST: Duration = Duration::from_secs(2);
+
 /// The tempo of links that carry tasks of a tenth of a second.
 pub(crate) const fn tempo() -> Tempo {
     Tempo {
         silence: timing::SILENCE,
+        connect: CONNECT,
         handshake: HANDSHAKE,
         pause: PAUSE,
+        patience: PATIENCE,
+        rest: REST,
     }
 }
 
--- a/crates/cassiarock-peer/src/dial.rs
+++ b/crates/cassiarock-peer/src/dial.rs
@@ -1,22 +1,28 @@
 //! Keeps one link to one peer open, dialling again after each end.
 
-use crate::{Error, Event, Identity, Key, handshake, link};
+use crate::{Error, Event, Identity, Key, Tempo, handshake, link};
 use cassiarock_id::Process;
+use cassiarock_wire::Hello;
 use rand::RngExt;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
-use tokio::task::JoinHandle;
-use tokio::time::timeout;
+use tokio::sync::{Notify, mpsc};
+use tokio::task::{JoinHandle, JoinSet};
+use tokio::time::{Instant, sleep, timeout};
 
 /// The pause before the first new try: a restarted peer listens again within it.
 const SHORTEST: Duration = Duration::from_millis(50);
 
+/// Over this time dials are spread that follow from the same news.
+const SPREAD: Duration = Duration::from_millis(20);
+
 /// Keeps a link to one process open; dropping it ends the link.
 #[derive(Debug)]
 pub struct Dialer {
     task: JoinHandle<()>,
+    nudged: Arc<Notify>,
 }
 
 impl Dialer {
@@ -29,17 +35,22 @@
         key: Key,
         events: mpsc::Sender<Event>,
     ) -> Self {
-        let task = tokio::spawn(async move {
-            let mut pause = SHORTEST;
-            while !events.is_closed() {
-                let began = tokio::time::Instant::now();
-                let error = attempt(address, wanted.as_ref(), &me, &key, &events).await;
-                log::debug!(peer:% = address; "link ended: {error}");
-                pause = next_pause(pause, began.elapsed(), me.tempo.pause);
-                tokio::time::sleep(jittered(pause)).await;
-            }
-        });
-        Self { task }
+        let nudged = Arc::new(Notify::new());
+        let call = Call {
+            peer: address,
+            wanted,
+            me,
+            key,
+            events,
+            nudged: nudged.clone(),
+        };
+        let task = tokio::spawn(call.keep());
+        Self { task, nudged }
+    }
+
+    /// The peer is known to be there: it is dialled at once, unless its link is open.
+    pub fn nudge(&self) {
+        self.nudged.notify_one();
     }
 }
 
@@ -49,10 +60,89 @@
     }
 }
 
-fn next_pause(pause: Duration, lasted: Duration, longest: Duration) -> Duration {
-    if lasted > longest {
-        return SHORTEST;
+/// Whom to dial, and as whom.
+struct Call {
+    peer: SocketAddr,
+    wanted: Option<Process>,
+    me: Identity,
+    key: Key,
+    events: mpsc::Sender<Event>,
+    nudged: Arc<Notify>,
+}
+
+impl Call {
+    /// Keeps the link open until nobody is there to hear of it.
+    async fn keep(self) {
+        let tempo = self.me.tempo;
+        let mut pause = SHORTEST;
+        let mut lost = Instant::now();
+        while !self.events.is_closed() {
+            let began = Instant::now();
+            tokio::select! {
+                opened = timeout(tempo.handshake, self.open()) => match opened {
+                    Ok(Ok((socket, hello))) => {
+                        self.run(socket, hello).await;
+                        lost = Instant::now();
+                    }
+                    Ok(Err(error)) => log::debug!(peer:% = self.peer; "not linked: {error}"),
+                    Err(_) => log::debug!(peer:% = self.peer; "not linked: no answer"),
+                },
+                // What is under way may have been sent before the peer was there.
+                () = self.nudged.notified() => {}
+            }
+            pause = next_pause(pause, began.elapsed(), &tempo, lost.elapsed());
+            if self.rest(jittered(pause)).await {
+                pause = SHORTEST;
+            }
+        }
+    }
+
+    async fn run(&self, socket: handshake::Socket, hello: Hello) {
+        let (peer, silence) = (self.peer, self.me.tempo.silence);
+        let error = link::run(socket, peer, hello, silence, self.events.clone()).await;
+        log::debug!(peer:% = peer; "link ended: {error}");
+    }
+
+    /// Waits for `pause`, or less if the peer is known to be there: then answers true.
+    async fn rest(&self, pause: Duration) -> bool {
+        tokio::select! {
+            () = sleep(pause) => false,
+            () = self.nudged.notified() => {
+                let share = rand::random();
+                sleep(SPREAD.mul_f64(share)).await;
+                true
+            }
+        }
     }
+
+    async fn open(&self) -> Result<(handshake::Socket, Hello), Error> {
+        let peer = self.peer;
+        let failed = |source| Error::Dial { peer, source };
+        let stream = connect(peer, self.me.tempo.connect).await.map_err(failed)?;
+        stream.set_nodelay(true).map_err(failed)?;
+        let (mut socket, _) = tokio_tungstenite::client_async(format!("ws://{peer}/"), stream)
+            .await
+            .map_err(|e| Error::Socket {
+                step: "open a websocket",
+                peer,
+                reason: e.to_string(),
+            })?;
+        let hello = handshake::dial(&mut socket, peer, &self.me, &self.key).await?;
+        expect(peer, self.wanted.as_ref(), &hello)?;
+        Ok((socket, hello))
+    }
+}
+
+/// A link that lasted is dialled again soon. The pauses double otherwise, up to a bound that
+/// is higher for a peer that has been away for long.
+fn next_pause(pause: Duration, lasted: Duration, tempo: &Tempo, away: Duration) -> Duration {
+    let longest = if away > tempo.patience {
+        tempo.rest
+    } else if lasted > tempo.pause {
+        return SHORTEST;
+    } else {
+        tempo.pause
+    };
     (pause * 2).min(longest)
 }
 
@@ -61,49 +151,20 @@
     pause.mul_f64(rand::rng().random_range(0.5..1.0))
 }
 
-async fn attempt(
-    peer: SocketAddr,
-    wanted: Option<&Process>,
-    me: &Identity,
-    key: &Key,
-    events: &mpsc::Sender<Event>,
-) -> Error {
-    let opened = timeout(me.tempo.handshake, open(peer, wanted, me, key)).await;
-    match opened {
-        Err(_) => Error::Silent { peer },
-        Ok(Err(error)) => error,
-        Ok(Ok((socket, hello))) => {
-            link::run(socket, peer, hello, me.tempo.silence, events.clone()).await
+/// Opens a connection, trying anew each `again` while the tries before may still be answered;
+/// the caller bounds them. A packet that is sent to a VM without power is lost, and the system
+/// repeats it only a second later, when the VM may long be back.
+async fn connect(peer: SocketAddr, again: Duration) -> std::io::Result<TcpStream> {
+    let mut tries = JoinSet::new();
+    loop {
+        tries.spawn(TcpStream::connect(peer));
+        if let Ok(Some(Ok(opened))) = timeout(again, tries.join_next()).await {
+            return opened;
         }
     }
 }
 
-async fn open(
-    peer: SocketAddr,
-    wanted: Option<&Process>,
-    me: &Identity,
-    key: &Key,
-) -> Result<(handshake::Socket, cassiarock_wire::Hello), Error> {
-    let failed = |source| Error::Dial { peer, source };
-    let stream = TcpStream::connect(peer).await.map_err(failed)?;
-    stream.set_nodelay(true).map_err(failed)?;
-    let (mut socket, _) = tokio_tungstenite::client_async(format!("ws://{peer}/"), stream)
-        .await
-        .map_err(|e| Error::Socket {
-            step: "open a websocket",
-            peer,
-            reason: e.to_string(),
-        })?;
-    let hello = handshake::dial(&mut socket, peer, me, key).await?;
-    expect(peer, wanted, &hello)?;
-    Ok((socket, hello))
-}
-
-fn expect(
-    peer: SocketAddr,
-    wanted: Option<&Process>,
-    hello: &cassiarock_wire::Hello,
-) -> Result<(), Error> {
+fn expect(peer: SocketAddr, wanted: Option<&Process>, hello: &Hello) -> Result<(), Error> {
     match wanted {
         Some(wanted) if *wanted != hello.process => Err(Error::Other {
             peer,
