Clear away the records of entries that are gone

Cause: each address at which an entry ever was had a record in the store for good, agents dialled all of them, and took no more than 256.

An entry tells agents of another only while it is linked to it.

--- a/crates/cassiarock-dispatch/src/agent.rs
+++ b/crates/cassiarock-dispatch/src/agent.rs
@@ -43,6 +43,8 @@
     Link(Event),
     /// An entry takes links there.
     Entry(SocketAddr),
+    /// The entry there has been gone for long.
+    EntryGone(SocketAddr),
     /// The upstream answered a start.
     Started(Task, Answer, Option<u64>),
     /// The upstream answered a stop.
@@ -106,6 +108,12 @@
                 }
                 Vec::new()
             }
+            Input::EntryGone(address) => {
+                // One that is linked lives, whatever the record says.
+                self.dialers
+                    .retain(|at, dialer| *at != address || dialer.is_linked());
+                Vec::new()
+            }
             Input::Started(task, answer, clock) => self.host.started(&task, answer, clock, now),
             Input::Stopped(task, clock) => self.host.stopped(&task, clock, now),
             Input::Glance(reply) => {
--- a/crates/cassiarock-dispatch/src/entry.rs
+++ b/crates/cassiarock-dispatch/src/entry.rs
@@ -155,6 +155,8 @@
                 if self.links.close(&peer, serial) {
                     log::warn!(dependency:% = peer.process, role:? = peer.role; "link lost");
                     self.scheduler.unlink(&peer.process);
+                    // Agents have its address; new ones are told of it again when it is back.
+                    self.entries.remove(&peer.address);
                 }
                 Vec::new()
             }
--- a/crates/cassiarock-dispatch/src/run/agent.rs
+++ b/crates/cassiarock-dispatch/src/run/agent.rs
@@ -86,11 +86,11 @@
         }
         parts.spawn(
             "changes of the settings",
-            reload(file, settings.clone(), found.clone()),
+            reload(file, settings.clone(), found),
         );
         parts.spawn_vital(
             "the directory of entries",
-            directory::addresses(store, found),
+            directory::addresses(store, inputs.clone()),
         );
         parts.spawn_vital(
             "the server for reports",
--- a/crates/cassiarock-peer/src/dial.rs
+++ b/crates/cassiarock-peer/src/dial.rs
@@ -6,6 +6,7 @@
 use rand::RngExt;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, mpsc};
@@ -23,6 +24,7 @@
 pub struct Dialer {
     task: JoinHandle<()>,
     nudged: Arc<Notify>,
+    is_linked: Arc<AtomicBool>,
 }
 
 impl Dialer {
@@ -36,6 +38,7 @@
         events: mpsc::Sender<Event>,
     ) -> Self {
         let nudged = Arc::new(Notify::new());
+        let is_linked = Arc::new(AtomicBool::new(false));
         let call = Call {
             peer: address,
             wanted,
@@ -43,15 +46,26 @@
             key,
             events,
             nudged: nudged.clone(),
+            is_linked: is_linked.clone(),
         };
         let task = tokio::spawn(call.keep());
-        Self { task, nudged }
+        Self {
+            task,
+            nudged,
+            is_linked,
+        }
     }
 
     /// The peer is known to be there: it is dialled at once, unless its link is open.
     pub fn nudge(&self) {
         self.nudged.notify_one();
     }
+
+    /// Whether its link is open.
+    #[must_use]
+    pub fn is_linked(&self) -> bool {
+        self.is_linked.load(Ordering::Relaxed)
+    }
 }
 
 impl Drop for Dialer {
@@ -68,6 +82,7 @@
     key: Key,
     events: mpsc::Sender<Event>,
     nudged: Arc<Notify>,
+    is_linked: Arc<AtomicBool>,
 }
 
 impl Call {
@@ -99,7 +114,9 @@
 
     async fn run(&self, socket: handshake::Socket, hello: Hello) {
         let (peer, silence) = (self.peer, self.me.tempo.silence);
+        self.is_linked.store(true, Ordering::Relaxed);
         let error = link::run(socket, peer, hello, silence, self.events.clone()).await;
+        self.is_linked.store(false, Ordering::Relaxed);
         log::debug!(peer:% = peer; "link ended: {error}");
     }
 
--- a/crates/cassiarock-test-support/src/log/stand.rs
+++ b/crates/cassiarock-test-support/src/log/stand.rs
@@ -55,6 +55,15 @@
         self.of(topic, |partition| partition.cut(partition.end()));
     }
 
+    /// The keys of a keyed topic that have a newest record.
+    #[must_use]
+    pub fn keys(&self, topic: &str) -> Vec<String> {
+        self.of(topic, |partition| {
+            let newest = partition.newest(None).into_iter();
+            newest.map(|(key, ..)| key.to_owned()).collect()
+        })
+    }
+
     fn of<T: Default>(&self, topic: &str, work: impl FnOnce(&mut Partition) -> T) -> T {
         let mut store = self.shared.store();
         store.partition(topic, 0).map(work).unwrap_or_default()
--- /dev/null
+++ b/tests/platform/directory.rs
@@ -0,0 +1,73 @@
+//! The records by which agents find entries.
+
+use crate::site::Site;
+use cassiarock_test_support::log::Stand;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::net::TcpListener;
+use tokio::time::timeout;
+
+const TOPIC: &str = "keyed.entries";
+
+const SOON: Duration = Duration::from_secs(5);
+
+/// Puts the record of an entry that last said so many minutes ago that it is there.
+fn put(store: &Stand, address: &str, minutes_ago: u64) {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    let renewed = now - Duration::from_mins(minutes_ago);
+    let value = format!("entry-9#1 {}", renewed.as_millis());
+    put_value(store, address, value.as_bytes());
+}
+
+fn put_value(store: &Stand, address: &str, value: &[u8]) {
+    let length = u8::try_from(address.len()).unwrap();
+    store.put(TOPIC, [&[length], address.as_bytes(), value].concat());
+}
+
+async fn until(mut is_so: impl FnMut() -> bool) -> bool {
+    let wait = async {
+        while !is_so() {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    timeout(SOON, wait).await.is_ok()
+}
+
+// Entries were replaced at new addresses, a few each week. Their records stayed for ever, and
+// agents dialled them all; after some months they had no dial left for a new entry, and no
+// caller of it was served.
+#[tokio::test]
+async fn an_entry_that_starts_clears_away_records_that_were_not_renewed_for_long() {
+    let mut site = Site::start(1, 1).await;
+    put(&site.store, "127.9.9.1:1", 31);
+    put(&site.store, "127.9.9.2:1", 29);
+    put_value(&site.store, "127.9.9.3:1", b"\xff no time");
+    site.entries[0].process.kill();
+    site.entries[0].restart();
+    let gone = "127.9.9.1:1".to_owned();
+    assert!(until(|| !site.store.keys(TOPIC).contains(&gone)).await);
+    let left = site.store.keys(TOPIC);
+    assert_eq!(left.len(), 3, "the other two and its own: {left:?}");
+}
+
+// The same from an agent's side: it goes on dialling an address until the record is cleared.
+#[tokio::test]
+async fn an_agent_dials_an_entry_no_more_whose_record_was_cleared() {
+    let site = Site::start(1, 1).await;
+    site.agents[0].door.with_fault(|fault| fault.down = false);
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    put(&site.store, &address, 0);
+    for _ in 0..2 {
+        let dialled = timeout(SOON, listener.accept()).await;
+        assert!(dialled.is_ok(), "it dials, and dials again");
+    }
+    put_value(&site.store, &address, b"");
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    // What it had under way waits in the queue of the listener.
+    while timeout(Duration::from_millis(1), listener.accept())
+        .await
+        .is_ok()
+    {}
+    let again = timeout(Duration::from_secs(1), listener.accept()).await;
+    assert!(again.is_err(), "it dials on");
+}
--- a/tests/platform/site.rs
+++ b/tests/platform/site.rs
@@ -80,7 +80,7 @@
     pub process: Child,
     /// None while it is down.
     pub upstream: Option<Upstream>,
-    _door: Door,
+    pub door: Door,
     ip: Ipv4Addr,
     name: String,
     file: File,
@@ -248,7 +248,7 @@
             process,
             upstream_port: upstream.address().port(),
             upstream: Some(upstream),
-            _door: door,
+            door,
             ip,
             name,
             file,
