Take the waiting for further agents back out of admission

Jobs that came while agents were still dialling were taken in whatever the room of those known.

What stays: a job is not called failed for its size in the first second, nor while upstreams that it fits are away.

--- a/crates/cassiarock-transient/src/scheduler/admit.rs
+++ b/crates/cassiarock-transient/src/scheduler/admit.rs
@@ -22,10 +22,6 @@
 /// into these milliseconds.
 const START: Duration = Duration::from_secs(1);
 
-/// They have all dialled once none has come for this long: eleven that dial within 300 ms
-/// leave shorter gaps.
-const GAP: Duration = Duration::from_millis(100);
-
 /// Without any upstream for a job, one is expected back within this time.
 const AGAIN_EMPTY: Duration = Duration::from_secs(2);
 
@@ -39,8 +35,9 @@
             .filter(|agent| agent.is_open(now) && agent.serves(service))
             .collect();
         let line = |what| told(what, work, now).with("upstreams", open.len());
-        if self.is_gathering(open.len(), now) {
-            return Ok(line("admitted").with("reason", "agents are still dialling"));
+        let dialling = || Ok(line("admitted").with("reason", "agents are still dialling"));
+        if open.is_empty() && now < START {
+            return dialling();
         }
         if open.is_empty() {
             return Err(without(line("refused").with("reason", "no upstream")));
@@ -51,6 +48,9 @@
                 line.with("cpu", stage.demand.cpu)
                     .with("memory", stage.demand.memory)
             };
+            if now < START {
+                return dialling();
+            }
             if self.kinds.fit(service, &stage.demand) {
                 let line = line("refused").with("reason", "the upstreams that it fits are away");
                 return Err(without(inputs(line)));
@@ -84,12 +84,6 @@
         Ok(line("admitted"))
     }
 
-    /// Whether agents are still dialling this process, which has just started: what it knows
-    /// of the room that there is says nothing yet.
-    fn is_gathering(&self, open: usize, now: Duration) -> bool {
-        now < START && (open == 0 || now < self.joined + GAP)
-    }
-
     /// The processor room that waiting tasks want that go before `work`, and their work in
     /// core-milliseconds.
     fn work_before(&self, work: &Work) -> (u64, f64) {
--- a/crates/cassiarock-transient/src/scheduler/mod.rs
+++ b/crates/cassiarock-transient/src/scheduler/mod.rs
@@ -84,8 +84,6 @@
     queue: BTreeSet<Place>,
     /// The kinds of upstream known so far.
     kinds: Kinds,
-    /// When the latest agent joined.
-    joined: Duration,
     /// How much work is being placed.
     rate: Rate,
     /// How long tasks run in terms of their estimates.
@@ -207,12 +205,7 @@
     /// A link to an agent opened.
     pub fn link(&mut self, agent: &Process, now: Duration) {
         let known = self.agents.entry(agent.clone());
-        let joined = &mut self.joined;
-        let known = known.or_insert_with(|| {
-            *joined = now;
-            Agent::new(now)
-        });
-        known.link(now);
+        known.or_insert_with(|| Agent::new(now)).link(now);
     }
 
     /// The last link to an agent is gone.
