--- a/crates/cassiarock-dispatch/src/directory.rs
+++ b/crates/cassiarock-dispatch/src/directory.rs
@@ -21,11 +21,11 @@
 /// How often an entry says that it is still there. Each time wakes the waiting read of every
 /// agent: 29 entries and 2,900 agents make 140 reads a second of it, with a store that takes
 /// some thousands.
-const RENEWAL: Duration = Duration::from_mins(10);
+const RENEWAL: Duration = Duration::from_secs(600);
 
 /// An entry that has not said so for this long, three renewals, has been replaced. The clocks
 /// of VMs may be some seconds apart.
-const GONE: Duration = Duration::from_mins(30);
+const GONE: Duration = Duration::from_secs(1_800);
 
 /// Announces an entry, again and again, and clears away the records of those that are gone.
 ///
--- a/tests/platform/directory.rs
+++ b/tests/platform/directory.rs
@@ -13,7 +13,7 @@
 /// Puts the record of an entry that last said so many minutes ago that it is there.
 fn put(store: &Stand, address: &str, minutes_ago: u64) {
     let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
-    let renewed = now - Duration::from_mins(minutes_ago);
+    let renewed = now - Duration::from_secs(60 * minutes_ago);
     let value = format!("entry-9#1 {}", renewed.as_millis());
     put_value(store, address, value.as_bytes());
 }
