--- a/crates/cassiarock-transient/src/scheduler/admit.rs
+++ b/crates/cassiarock-transient/src/scheduler/admit.rs
@@ -22,7 +22,7 @@
 /// into these milliseconds.
 const START: Duration = Duration::from_secs(1);
 
-/// Without any upstream or configuration, one is expected back within this time.
+/// Without any upstream for a job, one is expected back within this time.
 const AGAIN_EMPTY: Duration = Duration::from_secs(2);
 
 impl Scheduler {
@@ -35,20 +35,27 @@
             .filter(|agent| agent.is_open(now) && agent.serves(service))
             .collect();
         let line = |what| told(what, work, now).with("upstreams", open.len());
+        let dialling = || Ok(line("admitted").with("reason", "agents are still dialling"));
         if open.is_empty() && now < START {
-            return Ok(line("admitted").with("reason", "agents are still dialling"));
+            return dialling();
         }
         if open.is_empty() {
-            let answer = refused(AGAIN_EMPTY, false);
-            return Err((
-                answer,
-                line("refused").with("reason", "no upstream").failed(),
-            ));
+            return Err(without(line("refused").with("reason", "no upstream")));
         }
         let fits = |demand: &Demand| open.iter().any(|agent| demand.fits(&agent.capacity()));
         if let Some(stage) = work.job.stages.iter().find(|stage| !fits(&stage.demand)) {
-            let line = line("impossible").with("cpu", stage.demand.cpu);
-            return Err((Answer::Failed, line.with("memory", stage.demand.memory)));
+            let inputs = |line: Decision| {
+                line.with("cpu", stage.demand.cpu)
+                    .with("memory", stage.demand.memory)
+            };
+            if now < START {
+                return dialling();
+            }
+            if self.kinds.fit(service, &stage.demand) {
+                let line = line("refused").with("reason", "the upstreams that it fits are away");
+                return Err(without(inputs(line)));
+            }
+            return Err((Answer::Failed, inputs(line("impossible"))));
         }
         let room: u64 = open.iter().map(|agent| agent.free().cpu).sum();
         let before = self.work_before(work);
@@ -105,6 +112,11 @@
         .sum()
 }
 
+/// A refusal for want of any upstream that could run the job.
+fn without(line: Decision) -> (Answer, Decision) {
+    (refused(AGAIN_EMPTY, false), line.failed())
+}
+
 /// A refusal. The pause is spread over half as much again.
 pub(super) fn refused(again: Duration, is_overload: bool) -> Answer {
     let spread = again.mul_f64(rand::random_range(0.0..0.5));
