Link each agent to twelve entries

Cause: each agent was linked to each entry, with a heartbeat each way every 100 ms.

Ruled out: slower heartbeats (the times in which a task of a lost agent may start elsewhere rest on them); cells with entries assigned to them (somebody would have to assign them, and a cell could lose all its entries).

Each agent now orders the entries by a hash of its own and keeps links to the first twelve that are there; up to twelve entries are all linked as before. A surplus link is told to its entry first, and closed once idle.

The tests of the roster are new with it; on systems of up to twelve entries nothing changes.

--- a/crates/cassiarock-dispatch/src/agent.rs
+++ b/crates/cassiarock-dispatch/src/agent.rs
@@ -4,10 +4,11 @@
 use crate::links::Links;
 use crate::orders::Orders;
 use cassiarock_adapter::reports::Report;
-use cassiarock_id::Name;
+use cassiarock_id::{Name, Process};
 use cassiarock_peer::{Dialer, Event, Identity, Key};
 use cassiarock_process::{Clock, Status};
 use cassiarock_transient::host::{Action, Answer, Look, Task};
+use cassiarock_transient::roster::{Roster, Step};
 use cassiarock_transient::{Host, Message};
 use cassiarock_wire::{Frame, Hello};
 use kameo::Actor;
@@ -18,9 +19,6 @@
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, watch};
 
-/// Entries that an agent dials at most; the aim is some tens.
-const ENTRIES: usize = 256;
-
 /// What a look asks for.
 #[derive(Clone, Debug)]
 pub(crate) struct Glance {
@@ -68,6 +66,7 @@
     pub(crate) host: Host,
     pub(crate) clock: Clock,
     pub(crate) links: Links,
+    pub(crate) roster: Roster,
     pub(crate) dialers: HashMap<SocketAddr, Dialer>,
     pub(crate) identity: Identity,
     pub(crate) key: Key,
@@ -87,6 +86,7 @@
         }
         let actions = self.host.poll(now);
         self.carry_out(actions);
+        self.keep_links(now);
         self.report();
         Ok(self.host.wake(now).saturating_sub(now))
     }
@@ -102,16 +102,16 @@
                 .gone(&id, "another life of the upstream answers", now),
             Input::Link(event) => self.event(event, now),
             Input::Entry(address) => {
-                match self.dialers.get(&address) {
-                    Some(dialer) => dialer.nudge(),
-                    None => self.dial(address),
+                self.roster.tell(address);
+                if let Some(dialer) = self.dialers.get(&address) {
+                    dialer.nudge();
                 }
                 Vec::new()
             }
             Input::EntryGone(address) => {
-                // One that is linked lives, whatever the record says.
-                self.dialers
-                    .retain(|at, dialer| *at != address || dialer.is_linked());
+                if let Some(step) = self.roster.forget(address) {
+                    self.step(step);
+                }
                 Vec::new()
             }
             Input::Started(task, answer, clock) => self.host.started(&task, answer, clock, now),
@@ -145,6 +145,9 @@
             Event::Up(link) => {
                 let peer = link.peer.clone();
                 log::info!(dependency:% = peer.process; "link opened");
+                if let Some(address) = link.dialled {
+                    self.roster.up(address, peer.process.clone(), link.serial);
+                }
                 self.links.open(link);
                 self.host.link(&peer.process, now)
             }
@@ -153,6 +156,7 @@
             }
             Event::Frame(..) => Vec::new(),
             Event::Down(peer, serial) => {
+                self.roster.down(serial, now);
                 if self.links.close(&peer, serial) {
                     log::warn!(dependency:% = peer.process; "link lost");
                     self.host.unlink(&peer.process);
@@ -180,8 +184,8 @@
             }
             Message::Entries(entries) => {
                 let addresses = entries.iter().filter_map(|entry| entry.parse().ok());
-                for address in addresses.collect::<Vec<_>>() {
-                    self.dial(address);
+                for address in addresses {
+                    self.roster.tell(address);
                 }
                 Vec::new()
             }
@@ -189,19 +193,35 @@
         }
     }
 
-    /// Keeps a link to the entry at `address`.
-    fn dial(&mut self, address: SocketAddr) {
-        if self.dialers.len() >= ENTRIES || self.dialers.contains_key(&address) {
-            return;
+    /// Links to the entries that the roster wants, and to no others.
+    fn keep_links(&mut self, now: Duration) {
+        let host = &self.host;
+        let steps = self.roster.poll(now, |entry| host.has_tasks(entry));
+        for step in steps {
+            self.step(step);
         }
-        let dialer = Dialer::new(
-            address,
-            None,
-            self.identity.clone(),
-            self.key.clone(),
-            self.events.clone(),
-        );
-        self.dialers.insert(address, dialer);
+    }
+
+    fn step(&mut self, step: Step) {
+        match step {
+            Step::Dial(address) => {
+                let (me, key) = (self.identity.clone(), self.key.clone());
+                let dialer = Dialer::new(address, None, me, key, self.events.clone());
+                self.dialers.insert(address, dialer);
+            }
+            Step::Drop(address) => {
+                log::info!(address:% = address; "not linked any more");
+                self.dialers.remove(&address);
+            }
+            Step::Retire(entry) => self.retire(&entry, true),
+            Step::Resume(entry) => self.retire(&entry, false),
+        }
+    }
+
+    fn retire(&mut self, entry: &Process, is_retired: bool) {
+        log::info!(dependency:% = entry, retired = is_retired; "link is one too many");
+        let actions = self.host.retire(entry, is_retired);
+        self.carry_out(actions);
     }
 
     fn carry_out(&mut self, actions: Vec<Action>) {
--- a/crates/cassiarock-dispatch/src/entry.rs
+++ b/crates/cassiarock-dispatch/src/entry.rs
@@ -18,8 +18,8 @@
 use std::time::Duration;
 use tokio::sync::{oneshot, watch};
 
-/// Entries whose addresses are passed on to agents; the aim is some tens.
-const ENTRIES: usize = 256;
+/// Entries whose addresses are passed on to agents; the aim is some 600.
+const ENTRIES: usize = 4_096;
 
 /// What happens to an entry.
 #[derive(Debug)]
@@ -189,9 +189,10 @@
     /// An entry that the store turns away is known to its agents through others.
     fn meet(&mut self, peer: &Hello) {
         if self.entries.len() < ENTRIES && self.entries.insert(peer.address.clone()) {
-            let agents: Vec<Process> = self.scheduler.linked().cloned().collect();
-            for agent in &agents {
-                self.tell_entries(agent);
+            // Only the new one: the whole list to all agents would be 100 MB with 600 entries.
+            let news = vec![peer.address.clone()];
+            for agent in self.scheduler.linked() {
+                self.links.send(agent, Message::Entries(news.clone()));
             }
         }
     }
--- a/crates/cassiarock-dispatch/src/run/agent.rs
+++ b/crates/cassiarock-dispatch/src/run/agent.rs
@@ -11,6 +11,7 @@
 use cassiarock_peer::{Event, Identity, Key};
 use cassiarock_process::{BACKLOG, Clock, Parts, Report, Stage, Status, forward, until};
 use cassiarock_transient::Host;
+use cassiarock_transient::roster::Roster;
 use cassiarock_wire::Role;
 use kameo::actor::Spawn;
 use std::collections::HashMap;
@@ -123,6 +124,7 @@
         host: Host::new(),
         clock: Clock::new(),
         links: Links::default(),
+        roster: Roster::new(identity.process.name.clone()),
         dialers: HashMap::new(),
         identity,
         key: Key::new(KEY),
--- a/crates/cassiarock-peer/src/dial.rs
+++ b/crates/cassiarock-peer/src/dial.rs
@@ -1,12 +1,12 @@
 //! Keeps one link to one peer open, dialling again after each end.
 
+use crate::link::Opened;
 use crate::{Error, Event, Identity, Key, Tempo, handshake, link};
 use cassiarock_id::Process;
 use cassiarock_wire::Hello;
 use rand::RngExt;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, mpsc};
@@ -24,7 +24,6 @@
 pub struct Dialer {
     task: JoinHandle<()>,
     nudged: Arc<Notify>,
-    is_linked: Arc<AtomicBool>,
 }
 
 impl Dialer {
@@ -38,7 +37,6 @@
         events: mpsc::Sender<Event>,
     ) -> Self {
         let nudged = Arc::new(Notify::new());
-        let is_linked = Arc::new(AtomicBool::new(false));
         let call = Call {
             peer: address,
             wanted,
@@ -46,26 +44,15 @@
             key,
             events,
             nudged: nudged.clone(),
-            is_linked: is_linked.clone(),
         };
         let task = tokio::spawn(call.keep());
-        Self {
-            task,
-            nudged,
-            is_linked,
-        }
+        Self { task, nudged }
     }
 
     /// The peer is known to be there: it is dialled at once, unless its link is open.
     pub fn nudge(&self) {
         self.nudged.notify_one();
     }
-
-    /// Whether its link is open.
-    #[must_use]
-    pub fn is_linked(&self) -> bool {
-        self.is_linked.load(Ordering::Relaxed)
-    }
 }
 
 impl Drop for Dialer {
@@ -82,7 +69,6 @@
     key: Key,
     events: mpsc::Sender<Event>,
     nudged: Arc<Notify>,
-    is_linked: Arc<AtomicBool>,
 }
 
 impl Call {
@@ -95,8 +81,8 @@
             let began = Instant::now();
             tokio::select! {
                 opened = timeout(tempo.handshake, self.open()) => match opened {
-                    Ok(Ok((socket, hello))) => {
-                        self.run(socket, hello).await;
+                    Ok(Ok(opened)) => {
+                        self.run(opened).await;
                         lost = Instant::now();
                     }
                     Ok(Err(error)) => log::debug!(peer:% = self.peer; "not linked: {error}"),
@@ -112,11 +98,9 @@
         }
     }
 
-    async fn run(&self, socket: handshake::Socket, hello: Hello) {
+    async fn run(&self, opened: Opened) {
         let (peer, silence) = (self.peer, self.me.tempo.silence);
-        self.is_linked.store(true, Ordering::Relaxed);
-        let error = link::run(socket, peer, hello, silence, self.events.clone()).await;
-        self.is_linked.store(false, Ordering::Relaxed);
+        let error = link::run(opened, silence, self.events.clone()).await;
         log::debug!(peer:% = peer; "link ended: {error}");
     }
 
@@ -132,7 +116,7 @@
         }
     }
 
-    async fn open(&self) -> Result<(handshake::Socket, Hello), Error> {
+    async fn open(&self) -> Result<Opened, Error> {
         let peer = self.peer;
         let failed = |source| Error::Dial { peer, source };
         let stream = connect(peer, self.me.tempo.connect).await.map_err(failed)?;
@@ -146,7 +130,12 @@
             })?;
         let hello = handshake::dial(&mut socket, peer, &self.me, &self.key).await?;
         expect(peer, self.wanted.as_ref(), &hello)?;
-        Ok((socket, hello))
+        Ok(Opened {
+            socket,
+            address: peer,
+            hello,
+            is_dialled: true,
+        })
     }
 }
 
--- a/crates/cassiarock-peer/src/link.rs
+++ b/crates/cassiarock-peer/src/link.rs
@@ -41,6 +41,8 @@
     pub peer: Arc<Hello>,
     /// Tells this link from an earlier one with the same peer.
     pub serial: u64,
+    /// The address that this process dialled, if it did.
+    pub dialled: Option<SocketAddr>,
     frames: mpsc::Sender<Frame>,
 }
 
@@ -53,20 +55,29 @@
     }
 }
 
+/// An open connection whose peer has proved the key.
+pub(crate) struct Opened {
+    pub(crate) socket: Socket,
+    pub(crate) address: SocketAddr,
+    pub(crate) hello: Hello,
+    pub(crate) is_dialled: bool,
+}
+
 /// Runs an open link to its end, which is also told as `Event::Down`.
-pub(crate) async fn run(
-    socket: Socket,
-    address: SocketAddr,
-    hello: Hello,
-    silence: Duration,
-    events: mpsc::Sender<Event>,
-) -> Error {
+pub(crate) async fn run(opened: Opened, silence: Duration, events: mpsc::Sender<Event>) -> Error {
+    let Opened {
+        socket,
+        address,
+        hello,
+        is_dialled,
+    } = opened;
     let peer = Arc::new(hello);
     let serial = SERIAL.fetch_add(1, Ordering::Relaxed);
     let (frames, queue) = mpsc::channel(BACKLOG);
     let link = Link {
         peer: Arc::clone(&peer),
         serial,
+        dialled: is_dialled.then_some(address),
         frames,
     };
     if events.send(Event::Up(link)).await.is_err() {
--- a/crates/cassiarock-peer/src/listen.rs
+++ b/crates/cassiarock-peer/src/listen.rs
@@ -1,5 +1,6 @@
 //! Takes links from peers.
 
+use crate::link::Opened;
 use crate::{Error, Event, Identity, Key, handshake, link};
 use std::net::SocketAddr;
 use tokio::net::{TcpListener, TcpStream};
@@ -71,7 +72,15 @@
         Ok(Ok(socket)) => socket,
     };
     match handshake::accept(&mut socket, peer, me, key).await {
-        Ok(hello) => link::run(socket, peer, hello, me.tempo.silence, events).await,
+        Ok(hello) => {
+            let opened = Opened {
+                socket,
+                address: peer,
+                hello,
+                is_dialled: false,
+            };
+            link::run(opened, me.tempo.silence, events).await
+        }
         Err(error) => {
             metrics::counter!("cassiarock_peer_turned_away_total").increment(1);
             log::warn!(peer:% = peer; "turned away: {error}");
--- a/crates/cassiarock-transient/src/host/entries.rs
+++ b/crates/cassiarock-transient/src/host/entries.rs
@@ -15,7 +15,7 @@
         let mut held: Vec<Attempt> = self.runs.of(entry).collect();
         held.extend(owner.kept.iter().map(|(_, ending)| ending.attempt));
         let kept: Vec<Ending> = owner.kept.iter().map(|(_, ending)| *ending).collect();
-        let upstream = self.upstream();
+        let upstream = self.upstream_for(entry);
         let mut actions = vec![
             Action::Send(entry.clone(), Message::Upstream(upstream)),
             Action::Send(entry.clone(), Message::Held(held)),
@@ -35,6 +35,23 @@
         }
     }
 
+    /// The link to `entry` is to be closed, or is to be kept after all: the entry places
+    /// nothing here meanwhile.
+    pub fn retire(&mut self, entry: &Process, is_retired: bool) -> Vec<Action> {
+        let Some(owner) = self.owners.get_mut(entry) else {
+            return Vec::new();
+        };
+        owner.is_retired = is_retired;
+        let message = Message::Upstream(self.upstream_for(entry));
+        vec![Action::Send(entry.clone(), message)]
+    }
+
+    /// Whether tasks of `entry` are here.
+    #[must_use]
+    pub fn has_tasks(&self, entry: &Process) -> bool {
+        self.runs.has(entry)
+    }
+
     /// An entry's heartbeat.
     pub fn heard(&mut self, entry: &Process, echo: Duration) {
         if let Some(owner) = self.owners.get_mut(entry) {
--- a/crates/cassiarock-transient/src/host/owner.rs
+++ b/crates/cassiarock-transient/src/host/owner.rs
@@ -9,6 +9,8 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Owner {
     pub(super) is_linked: bool,
+    /// Whether it has been told to place nothing more here.
+    pub(super) is_retired: bool,
     /// This agent's clock as the entry last echoed it.
     pub(super) echo: Duration,
     /// The number of its last orders.
@@ -23,6 +25,7 @@
     /// A new link counts its orders anew.
     pub(super) const fn link(&mut self) {
         self.is_linked = true;
+        self.is_retired = false;
         self.serial = 0;
     }
 
--- a/crates/cassiarock-transient/src/host/upstream.rs
+++ b/crates/cassiarock-transient/src/host/upstream.rs
@@ -116,12 +116,20 @@
         actions.push(Action::Tell(told));
         for (entry, owner) in &self.owners {
             if owner.is_linked {
-                let message = Message::Upstream(upstream.clone());
+                let message = Message::Upstream(self.upstream_for(entry));
                 actions.push(Action::Send(entry.clone(), message));
             }
         }
     }
 
+    /// The upstream as one entry is to see it.
+    pub(super) fn upstream_for(&self, entry: &Process) -> Option<Upstream> {
+        let mut upstream = self.upstream()?;
+        let owner = self.owners.get(entry);
+        upstream.is_leaving |= owner.is_some_and(|owner| owner.is_retired);
+        Some(upstream)
+    }
+
     pub(super) fn upstream(&self) -> Option<Upstream> {
         let worker = self.worker.as_ref().filter(|worker| !worker.is_gone)?;
         let mut upstream = worker.upstream();
--- a/crates/cassiarock-transient/src/lib.rs
+++ b/crates/cassiarock-transient/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod host;
 mod job;
 pub mod message;
+pub mod roster;
 pub mod scheduler;
 pub mod table;
 pub mod timing;
--- a/crates/cassiarock-transient/tests/host/lives.rs
+++ b/crates/cassiarock-transient/tests/host/lives.rs
@@ -1,7 +1,8 @@
 //! Lives of the upstream, and entries that come and go.
 
 use crate::world::{World, entry, ms};
-use cassiarock_transient::host::Answer;
+use cassiarock_transient::Message;
+use cassiarock_transient::host::{Action, Answer, Worker};
 use cassiarock_transient::message::End;
 use cassiarock_transient::timing::{CONTACT, LEASE};
 
@@ -170,3 +171,40 @@
     }
     assert!(world.load.pace >= 300, "{}", world.load.pace);
 }
+
+// The link to one entry of many is to be closed. That entry alone must place nothing more
+// here: what is on its way when the link closes would be lost for more than a second.
+#[test]
+fn an_entry_whose_link_is_to_be_closed_is_told_to_place_nothing_here() {
+    let mut world = World::new();
+    world.link(2);
+    let told = |actions: &[Action]| match actions {
+        [Action::Send(to, Message::Upstream(Some(upstream)))] => (to.clone(), upstream.is_leaving),
+        other => panic!("{other:?}"),
+    };
+    let actions = world.host.retire(&entry(1), true);
+    assert_eq!(told(&actions), (entry(1), true));
+    let actions = world.host.retire(&entry(1), false);
+    assert_eq!(told(&actions), (entry(1), false));
+}
+
+#[test]
+fn an_entry_is_not_told_again_that_it_may_place_here_while_its_link_is_to_be_closed() {
+    let mut world = World::new();
+    world.host.retire(&entry(1), true);
+    let actions = world.host.gone("u-1", "the upstream ended", world.now);
+    world.take(actions);
+    let worker = Worker {
+        id: "u-2".into(),
+        service: "s".into(),
+        clock: world.clock(),
+        sequence: 1,
+        ..Worker::default()
+    };
+    let actions = world.host.report(worker, world.now);
+    let is_leaving = actions.iter().find_map(|action| match action {
+        Action::Send(_, Message::Upstream(Some(upstream))) => Some(upstream.is_leaving),
+        _ => None,
+    });
+    assert_eq!(is_leaving, Some(true));
+}
--- /dev/null
+++ b/crates/cassiarock-transient/tests/roster.rs
@@ -0,0 +1,247 @@
+//! An agent's links to entries.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use cassiarock_id::Process;
+use cassiarock_transient::roster::{LINKS, Roster, Step};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn address(number: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, u8::try_from(number).unwrap()], 7_000))
+}
+
+/// An agent among entries that answer, unless they are down.
+struct World {
+    roster: Roster,
+    now: Duration,
+    linked: BTreeMap<SocketAddr, u64>,
+    dialled: BTreeSet<SocketAddr>,
+    down: BTreeSet<SocketAddr>,
+    retired: BTreeSet<Process>,
+    /// Entries that have tasks on the agent.
+    busy: BTreeSet<Process>,
+    serial: u64,
+}
+
+impl World {
+    fn new(agent: &str, entries: usize) -> Self {
+        let mut world = Self {
+            roster: Roster::new(agent),
+            now: Duration::ZERO,
+            linked: BTreeMap::new(),
+            dialled: BTreeSet::new(),
+            down: BTreeSet::new(),
+            retired: BTreeSet::new(),
+            busy: BTreeSet::new(),
+            serial: 0,
+        };
+        for number in 0..entries {
+            world.roster.tell(address(number));
+        }
+        world
+    }
+
+    fn pass(&mut self, millis: u64) {
+        for _ in 0..millis / 50 {
+            self.now += ms(50);
+            let busy = self.busy.clone();
+            for step in self.roster.poll(self.now, |entry| busy.contains(entry)) {
+                self.take(step);
+            }
+            let reached = self.dialled.iter().filter(|at| !self.down.contains(at));
+            for at in reached.copied().collect::<Vec<_>>() {
+                self.dialled.remove(&at);
+                self.serial += 1;
+                self.linked.insert(at, self.serial);
+                self.roster.up(at, process(at), self.serial);
+            }
+        }
+    }
+
+    fn take(&mut self, step: Step) {
+        match step {
+            Step::Dial(at) => assert!(self.dialled.insert(at), "dialled once"),
+            Step::Drop(at) => {
+                self.dialled.remove(&at);
+                if self.linked.remove(&at).is_some() {
+                    assert!(self.retired.remove(&process(at)), "told before");
+                }
+            }
+            Step::Retire(entry) => assert!(self.retired.insert(entry)),
+            Step::Resume(entry) => assert!(self.retired.remove(&entry)),
+        }
+    }
+
+    /// The entry ends; the agent dials it until it is back.
+    fn end(&mut self, at: SocketAddr) {
+        self.down.insert(at);
+        if let Some(serial) = self.linked.remove(&at) {
+            self.dialled.insert(at);
+            self.retired.remove(&process(at));
+            self.roster.down(serial, self.now);
+        }
+    }
+}
+
+fn process(at: SocketAddr) -> Process {
+    Process::new(at.to_string(), 1)
+}
+
+#[test]
+fn an_agent_links_to_all_entries_of_a_small_system() {
+    let mut world = World::new("agent-1", LINKS);
+    world.pass(1_000);
+    assert_eq!(world.linked.len(), LINKS);
+}
+
+// A system had grown to 300 VMs. Each agent was linked to each entry, and an entry had no
+// processor time left for callers: all of it went into heartbeats.
+#[test]
+fn an_agent_links_to_a_few_entries_of_a_large_system() {
+    let mut world = World::new("agent-1", 64);
+    world.pass(20_000);
+    assert_eq!(world.linked.len(), LINKS);
+    assert!(world.dialled.is_empty());
+}
+
+// With few links for each agent an entry might have got none, and would refuse every caller.
+#[test]
+fn the_links_of_all_agents_spread_over_all_entries() {
+    let mut agents: BTreeMap<SocketAddr, usize> = BTreeMap::new();
+    for number in 0..240 {
+        let mut world = World::new(&format!("agent-{number}"), 64);
+        world.pass(1_000);
+        for at in world.linked.keys() {
+            *agents.entry(*at).or_default() += 1;
+        }
+    }
+    assert_eq!(agents.len(), 64);
+    assert!(
+        agents.values().all(|count| (20..80).contains(count)),
+        "{agents:?}"
+    );
+}
+
+#[test]
+fn another_entry_is_linked_in_place_of_one_that_is_gone() {
+    let mut world = World::new("agent-1", 64);
+    world.pass(1_000);
+    let first = *world.linked.keys().next().unwrap();
+    world.end(first);
+    world.pass(2_000);
+    assert_eq!(world.linked.len(), LINKS);
+}
+
+// An entry was away for a minute. All agents had found others in its place, and when it was
+// back, none had a use for it: it stood there without an agent and refused its callers.
+#[test]
+fn an_entry_that_was_away_for_long_gets_its_agents_back() {
+    let mut world = World::new("agent-1", 64);
+    world.pass(1_000);
+    let first = *world.linked.keys().next().unwrap();
+    world.end(first);
+    world.pass(60_000);
+    world.down.remove(&first);
+    world.pass(1_000);
+    assert!(world.linked.contains_key(&first));
+    world.pass(20_000);
+    assert_eq!(world.linked.len(), LINKS, "the one in its place is dropped");
+}
+
+// The same at an entry that is added.
+#[test]
+fn an_entry_that_is_added_is_linked_by_its_share_of_agents() {
+    let mut linked = 0;
+    for number in 0..240 {
+        let mut world = World::new(&format!("agent-{number}"), 63);
+        world.pass(1_000);
+        world.roster.tell(address(63));
+        world.pass(1_000);
+        linked += usize::from(world.linked.contains_key(&address(63)));
+    }
+    assert!((20..80).contains(&linked), "{linked} agents");
+}
+
+// While a link was dropped its entry had just placed a task there, which was lost for more than
+// a second and came too late.
+#[test]
+fn a_link_is_dropped_only_after_its_entry_was_told_and_has_no_tasks_left() {
+    let mut world = World::new("agent-1", 64);
+    world.pass(1_000);
+    let all: Vec<SocketAddr> = world.linked.keys().copied().collect();
+    let first = all[0];
+    world.end(first);
+    world.pass(3_000);
+    let new = world.linked.keys().find(|at| !all.contains(at));
+    let new = *new.unwrap();
+    world.busy.insert(process(new));
+    world.down.remove(&first);
+    world.pass(20_000);
+    assert!(world.retired.contains(&process(new)));
+    assert!(world.linked.contains_key(&new), "its task runs");
+    world.busy.clear();
+    world.pass(1_000);
+    assert!(!world.linked.contains_key(&new));
+}
+
+// Entries were restarted one after the other. Agents took others in their place and dropped
+// them again each time, and each change cost more than the links.
+#[test]
+fn a_link_in_place_of_a_restarted_entry_is_kept_for_a_while() {
+    let mut world = World::new("agent-1", 64);
+    world.pass(1_000);
+    let first = *world.linked.keys().next().unwrap();
+    world.end(first);
+    world.pass(2_000);
+    world.down.remove(&first);
+    world.pass(5_000);
+    assert_eq!(world.linked.len(), LINKS + 1);
+    assert!(world.retired.is_empty());
+}
+
+#[test]
+fn a_link_that_is_needed_again_is_not_dropped() {
+    let mut world = World::new("agent-1", 64);
+    world.pass(1_000);
+    let all: Vec<SocketAddr> = world.linked.keys().copied().collect();
+    world.end(all[0]);
+    world.pass(2_000);
+    world.down.remove(&all[0]);
+    world.pass(10_300);
+    assert_eq!(world.retired.len(), 1);
+    world.end(all[1]);
+    world.pass(1_300);
+    assert!(world.retired.is_empty());
+    assert_eq!(world.linked.len(), LINKS);
+}
+
+#[test]
+fn an_agent_that_reaches_no_entry_does_not_dial_them_all() {
+    let mut world = World::new("agent-1", 200);
+    world.down = (0..200).map(address).collect();
+    world.pass(60_000);
+    assert!(world.dialled.len() <= 50, "{}", world.dialled.len());
+    world.down.clear();
+    world.pass(1_000);
+    assert!(world.linked.len() >= LINKS);
+}
+
+#[test]
+fn an_address_whose_entry_is_long_gone_is_forgotten_unless_it_is_linked() {
+    let mut world = World::new("agent-1", 2);
+    world.down.insert(address(0));
+    world.pass(1_000);
+    assert_eq!(
+        world.roster.forget(address(0)),
+        Some(Step::Drop(address(0)))
+    );
+    assert_eq!(world.roster.forget(address(1)), None);
+    assert!(world.roster.tell(address(0)), "it is news again");
+    assert!(!world.roster.tell(address(1)));
+}
