Ask for room first when a task is placed

Under load most agents have no room; it is asked first, and a stage's other tasks are not tried once one found none.

--- a/crates/cassiarock-transient/src/scheduler/place.rs
+++ b/crates/cassiarock-transient/src/scheduler/place.rs
@@ -78,8 +78,14 @@
         let waiting = work.waiting(now);
         let asked = waiting.len();
         let mut starts: BTreeMap<Process, Vec<Start>> = BTreeMap::new();
+        // Tasks of one stage want the same: where one finds no room, the others find none.
+        let mut full = None;
         for (stage, index) in waiting {
+            if full == Some(stage) {
+                continue;
+            }
             let Some(process) = self.choose(work, stage, index, &starts, now) else {
+                full = Some(stage);
                 continue;
             };
             let demand = work.job.stages[stage].demand;
@@ -155,11 +161,12 @@
         let wanted = &work.job.stages[stage];
         let task = &work.tasks[stage][index];
         let agents = self.agents.iter();
+        // Room first: under load most agents have none, and all are asked for each task.
         let fit = agents.filter(|(process, agent)| {
-            agent.is_open(now)
+            wanted.demand.fits(agent.free())
+                && agent.is_open(now)
                 && !agent.is_ejected
                 && agent.serves(&work.class.service)
-                && wanted.demand.fits(agent.free())
                 && wanted
                     .label
                     .as_ref()
