Write log lines straight to text

Cause: lines were built as an object of values and then written; a profile of an entry at 150 jobs a second showed 13% of its processor time in them.

--- a/src/bin/cassiarockd/logging.rs
+++ b/src/bin/cassiarockd/logging.rs
@@ -7,6 +7,7 @@
 use flexi_logger::{DeferredNow, FlexiLoggerError, Logger, LoggerHandle, WriteMode, json_format};
 use log::kv::{Error, Key, Value, VisitSource};
 use log::{Level, LevelFilter, Record};
+use serde::ser::{Serialize, SerializeMap, Serializer};
 use std::io::{self, Write};
 use std::time::Duration;
 
@@ -83,6 +84,9 @@
     format!("{value:?}")
 }
 
+/// What most lines take, in bytes.
+const LINE: usize = 512;
+
 /// Starts logging to standard output, one JSON object a line. No line makes the process wait:
 /// under load or before a reader that has stopped, lines are left out and counted.
 pub fn start_bounded(process: &str) -> Result<LoggerHandle, FlexiLoggerError> {
@@ -115,16 +119,10 @@
             self.outlet.push("lines left out", true, line.to_string());
         }
         let what = record.args().to_string();
-        let mut line = serde_json::Map::new();
-        line.insert("at".to_owned(), at.into());
-        line.insert("level".to_owned(), record.level().as_str().into());
-        line.insert("process".to_owned(), self.process.as_str().into());
-        line.insert("what".to_owned(), what.as_str().into());
-        let visited = record.key_values().visit(&mut Fields { line: &mut line });
-        visited.map_err(io::Error::other)?;
+        let line = self.line(&at, &what, record);
         let kind = what.split(':').next().unwrap_or_default();
-        let text = serde_json::Value::Object(line).to_string();
-        self.outlet.push(kind, record.level() <= Level::Warn, text);
+        let line = line.map_err(io::Error::other)?;
+        self.outlet.push(kind, record.level() <= Level::Warn, line);
         Ok(())
     }
 
@@ -141,19 +139,47 @@
     }
 }
 
-/// Puts pairs into an object.
-struct Fields<'a> {
-    line: &'a mut serde_json::Map<String, serde_json::Value>,
+impl Bounded {
+    /// Written straight to text: with an object of values in between, a busy entry took a
+    /// seventh more processor time.
+    fn line(&self, at: &str, what: &str, record: &Record<'_>) -> Result<String, serde_json::Error> {
+        let mut text = Vec::with_capacity(LINE);
+        let mut json = serde_json::Serializer::new(&mut text);
+        let mut line = json.serialize_map(None)?;
+        line.serialize_entry("at", at)?;
+        line.serialize_entry("level", record.level().as_str())?;
+        line.serialize_entry("process", &self.process)?;
+        line.serialize_entry("what", what)?;
+        let mut fields = Fields { line: &mut line };
+        let visited = record.key_values().visit(&mut fields);
+        visited.map_err(serde::ser::Error::custom)?;
+        line.end()?;
+        String::from_utf8(text).map_err(serde::ser::Error::custom)
+    }
 }
 
-impl<'kvs> VisitSource<'kvs> for Fields<'_> {
+/// Puts pairs into a line.
+struct Fields<'a, M> {
+    line: &'a mut M,
+}
+
+impl<'kvs, M: SerializeMap<Error = serde_json::Error>> VisitSource<'kvs> for Fields<'_, M> {
     fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
-        let value = match (value.to_i64(), value.to_bool()) {
-            (Some(number), _) => number.into(),
-            (None, Some(flag)) => flag.into(),
-            (None, None) => value.to_string().into(),
+        let key = key.as_str();
+        let written = match (value.to_i64(), value.to_bool()) {
+            (Some(number), _) => self.line.serialize_entry(key, &number),
+            (None, Some(flag)) => self.line.serialize_entry(key, &flag),
+            (None, None) => self.line.serialize_entry(key, &Shown(&value)),
         };
-        self.line.insert(key.to_string(), value);
-        Ok(())
+        written.map_err(Error::boxed)
+    }
+}
+
+/// A value as the text that it shows.
+struct Shown<'a>(&'a Value<'a>);
+
+impl Serialize for Shown<'_> {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(self.0)
     }
 }
