--- a/crates/cassiarock-peer/src/listen.rs
+++ b/crates/cassiarock-peer/src/listen.rs
@@ -1,10 +1,12 @@
 //! Takes links from peers.
 
+use crate::link::Opened;
 use crate::{Error, Event, Identity, Key, handshake, link};
 use std::net::SocketAddr;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::time::timeout;
+use tokio_tungstenite::accept_async_with_config;
 
 /// A bound address at which peers dial this process.
 #[derive(Debug)]
@@ -64,14 +66,23 @@
     if let Err(e) = stream.set_nodelay(true) {
         return socket_error(e.to_string());
     }
-    let opened = timeout(me.tempo.handshake, tokio_tungstenite::accept_async(stream)).await;
+    let opening = accept_async_with_config(stream, Some(handshake::config()));
+    let opened = timeout(me.tempo.handshake, opening).await;
     let mut socket = match opened {
         Err(_) => return socket_error("timed out".into()),
         Ok(Err(e)) => return socket_error(e.to_string()),
         Ok(Ok(socket)) => socket,
     };
     match handshake::accept(&mut socket, peer, me, key).await {
-        Ok(hello) => link::run(socket, peer, hello, me.tempo.silence, events).await,
+        Ok(hello) => {
+            let opened = Opened {
+                socket,
+                address: peer,
+                hello,
+                is_dialled: false,
+            };
+            link::run(opened, me.tempo.silence, events).await
+        }
         Err(error) => {
             metrics::counter!("cassiarock_peer_turned_away_total").increment(1);
             log::warn!(peer:% = peer; "turned away: {error}");
