Tell the end of a link whose dialer is dropped

Cause: a dropped dialer ended its link without a word to its own process, which kept the link, took the entry for linked and sent it heartbeats into nothing. Until links to surplus entries were given up nothing dropped the dialer of an open link here. The test of the dialer failed before the change.

--- a/crates/cassiarock-peer/src/link.rs
+++ b/crates/cassiarock-peer/src/link.rs
@@ -9,7 +9,9 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
+use tokio::runtime::Handle;
 use tokio::sync::mpsc;
+use tokio::sync::mpsc::error::TrySendError;
 use tokio::time::timeout;
 use tokio_tungstenite::tungstenite::Message;
 
@@ -83,15 +85,42 @@
     if events.send(Event::Up(link)).await.is_err() {
         return Error::Closed { peer: address };
     }
+    let down = Down {
+        peer: Arc::clone(&peer),
+        serial,
+        events: events.clone(),
+    };
     let (sink, stream) = socket.split();
     let error = tokio::select! {
         error = write(sink, queue, address, silence) => error,
         error = read(stream, &peer, &events, address, silence) => error,
     };
-    let _ = events.send(Event::Down(peer, serial)).await;
+    drop(down);
     error
 }
 
+/// Tells the end of a link, also of one whose dialer is dropped: the process would otherwise
+/// go on sending into nothing.
+struct Down {
+    peer: Arc<Hello>,
+    serial: u64,
+    events: mpsc::Sender<Event>,
+}
+
+impl Drop for Down {
+    fn drop(&mut self) {
+        let event = Event::Down(Arc::clone(&self.peer), self.serial);
+        let Err(TrySendError::Full(event)) = self.events.try_send(event) else {
+            return;
+        };
+        let events = self.events.clone();
+        // Without a runtime the process is ending.
+        if let Ok(runtime) = Handle::try_current() {
+            runtime.spawn(async move { events.send(event).await });
+        }
+    }
+}
+
 async fn write(
     mut sink: SplitSink<Socket, Message>,
     mut queue: mpsc::Receiver<Frame>,
--- a/crates/cassiarock-peer/tests/dial.rs
+++ b/crates/cassiarock-peer/tests/dial.rs
@@ -110,6 +110,20 @@
     assert!(next.is_err(), "{next:?}");
 }
 
+// An agent gave up a link. Its process was never told that the link was gone, and went on
+// sending heartbeats into nothing.
+#[tokio::test]
+async fn a_dialer_that_is_dropped_tells_the_end_of_its_link() {
+    let address = closed().await;
+    let _server = serve(address).await;
+    let (dialer, mut events) = dial(address, Tempo::default());
+    let up = events.recv().await;
+    assert!(matches!(up, Some(Event::Up(_))), "{up:?}");
+    drop(dialer);
+    let next = timeout(ms(300), events.recv()).await;
+    assert!(matches!(next, Ok(Some(Event::Down(..)))), "{next:?}");
+}
+
 // Entries that had been replaced long ago were dialled for ever at the same pace, by all agents.
 #[tokio::test]
 async fn a_peer_that_is_away_for_long_is_dialled_seldom() {
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -8,5 +8,6 @@
 mod failures;
 mod job;
 mod leaving;
+mod links;
 mod site;
 mod soak;
--- a/tests/platform/site.rs
+++ b/tests/platform/site.rs
@@ -103,6 +103,15 @@
 impl Site {
     /// Starts so many entries and agents and waits until each entry can place tasks on all.
     pub async fn start(entries: usize, agents: usize) -> Self {
+        let site = Self::start_unlinked(entries, agents).await;
+        for entry in &site.entries {
+            entry.linked(agents, START).await;
+        }
+        site
+    }
+
+    /// The same without waiting for links.
+    pub async fn start_unlinked(entries: usize, agents: usize) -> Self {
         let room = ROOM.acquire().await.unwrap();
         let ports = Ports::new();
         let store = Stand::start().await.unwrap();
@@ -130,9 +139,6 @@
             let agent = Agent::start(number, ports, door, &seeds, witness);
             site.agents.push(agent);
         }
-        for entry in &site.entries {
-            entry.linked(agents, START).await;
-        }
         site
     }
 
@@ -208,20 +214,21 @@
     /// Waits until so many agents can be given tasks.
     pub async fn linked(&self, agents: usize, limit: Duration) {
         let until = Instant::now() + limit;
-        let wanted = format!("cassiarock_agents_open {agents}");
-        loop {
-            let text = match reqwest::get(self.metrics()).await {
-                Ok(answer) => answer.text().await.unwrap_or_default(),
-                Err(_) => String::new(),
-            };
-            if text.lines().any(|line| line == wanted) {
-                return;
-            }
+        while self.open().await != Some(agents) {
             let said = || self.process.output();
-            assert!(Instant::now() < until, "{}: {text}\n{}", self.name, said());
+            assert!(Instant::now() < until, "{}: {}", self.name, said());
             tokio::time::sleep(Duration::from_millis(50)).await;
         }
     }
+
+    /// How many agents can be given tasks, by its metrics.
+    pub async fn open(&self) -> Option<usize> {
+        let answer = reqwest::get(self.metrics()).await.ok()?;
+        let text = answer.text().await.ok()?;
+        let mut lines = text.lines();
+        let open = lines.find_map(|line| line.strip_prefix("cassiarock_agents_open "))?;
+        open.parse().ok()
+    }
 }
 
 impl Agent {
