Split the taking of orders; let the soak play larger systems

Host::order was one function of fifty lines; the attempt that a start names is built in one place. SOAK_SIZE=entries,agents plays the soak's seeds in a larger system, with as many more faults at a time; the default size plays as before.

--- a/crates/cassiarock-transient/src/host/orders.rs
+++ b/crates/cassiarock-transient/src/host/orders.rs
@@ -31,41 +31,11 @@
         owner.heard(echo);
         owner.serial = serial;
         let age = now.saturating_sub(echo);
-        let is_stale = age >= CONTACT;
         let mut endings = Vec::new();
         for order in orders {
-            let asked = order.tasks.len();
-            let mut turned = Vec::new();
-            for start in &order.tasks {
-                let attempt = Attempt {
-                    number: order.number,
-                    stage: start.stage,
-                    index: start.index,
-                    attempt: start.attempt,
-                };
-                let task = Task {
-                    job: order.job.clone(),
-                    attempt,
-                };
-                let refusal = if is_stale {
-                    Some(End::Stale)
-                } else {
-                    self.obstacle(&task, &start.demand, &mut actions, now)
-                };
-                if let Some(end) = refusal {
-                    turned.push(end);
-                    endings.push(unrun(attempt, end));
-                    continue;
-                }
-                let run = Run::new(entry.clone(), order.request.clone(), start, now);
-                self.runs.add(task.clone(), run);
-                actions.push(Action::Start {
-                    task,
-                    spec: order.spec.clone(),
-                    until: self.lease.renew(now),
-                });
-            }
-            actions.push(Action::Tell(self.taken(&order, asked, &turned, age)));
+            let turned = self.take(entry, &order, age, now, &mut actions);
+            actions.push(Action::Tell(self.taken(&order, &turned, age)));
+            endings.extend(turned);
         }
         if !endings.is_empty() {
             self.end_all(entry, endings, now, &mut actions);
@@ -73,33 +43,61 @@
         actions
     }
 
-    pub(super) fn taken(
-        &self,
+    /// Starts the tasks of an order. Gives those that are turned away.
+    fn take(
+        &mut self,
+        entry: &Process,
         order: &Order,
-        asked: usize,
-        turned: &[End],
         age: Duration,
-    ) -> Decision {
+        now: Duration,
+        actions: &mut Vec<Action>,
+    ) -> Vec<Ending> {
+        let mut turned = Vec::new();
+        for start in &order.tasks {
+            let task = Task {
+                job: order.job.clone(),
+                attempt: start.of(order.number),
+            };
+            if let Some(end) = self.obstacle(&task, &start.demand, age, now, actions) {
+                turned.push(unrun(task.attempt, end));
+                continue;
+            }
+            let run = Run::new(entry.clone(), order.request.clone(), start, now);
+            self.runs.add(task.clone(), run);
+            actions.push(Action::Start {
+                task,
+                spec: order.spec.clone(),
+                until: self.lease.renew(now),
+            });
+        }
+        turned
+    }
+
+    fn taken(&self, order: &Order, turned: &[Ending], age: Duration) -> Decision {
         let told = Decision::new("order", order.request.clone(), order.job.clone())
-            .with("tasks", asked)
+            .with("tasks", order.tasks.len())
             .with("turned_away", turned.len())
             .with("echo_age_ms", age.as_millis())
             .with("free_cpu", self.free().cpu)
             .with("running", self.runs.len());
         match turned.first() {
-            Some(end) => told.with("reason", format_args!("{end:?}")),
+            Some(ending) => told.with("reason", format_args!("{:?}", ending.end)),
             None => told,
         }
     }
 
     /// Why `task` cannot be started now, if anything stands in its way.
-    pub(super) fn obstacle(
+    fn obstacle(
         &mut self,
         task: &Task,
         demand: &Demand,
-        actions: &mut Vec<Action>,
+        age: Duration,
         now: Duration,
+        actions: &mut Vec<Action>,
     ) -> Option<End> {
+        if age >= CONTACT {
+            return Some(End::Stale);
+        }
         let Some(worker) = &self.worker else {
             return Some(End::Closed);
         };
--- a/crates/cassiarock-transient/src/message.rs
+++ b/crates/cassiarock-transient/src/message.rs
@@ -37,6 +37,19 @@
     pub expected: Duration,
 }
 
+impl Start {
+    /// The attempt of the job with this number that it starts.
+    #[must_use]
+    pub const fn of(&self, number: u64) -> Attempt {
+        Attempt {
+            number,
+            stage: self.stage,
+            index: self.index,
+            attempt: self.attempt,
+        }
+    }
+}
+
 /// Tasks of one job to start on one upstream.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Order {
--- a/crates/cassiarock-transient/tests/scheduler/world.rs
+++ b/crates/cassiarock-transient/tests/scheduler/world.rs
@@ -182,15 +182,9 @@
 
     fn place(&mut self, agent: &Process, order: &Order) {
         for start in &order.tasks {
-            let attempt = Attempt {
-                number: order.number,
-                stage: start.stage,
-                index: start.index,
-                attempt: start.attempt,
-            };
             self.placed.push(Placed {
                 agent: agent.clone(),
-                attempt,
+                attempt: start.of(order.number),
                 at: self.now,
             });
         }
--- a/tests/platform/site.rs
+++ b/tests/platform/site.rs
@@ -213,8 +213,17 @@
 
     /// Waits until so many agents can be given tasks.
     pub async fn linked(&self, agents: usize, limit: Duration) {
+        self.until_open(|open| open == agents, limit).await;
+    }
+
+    /// Waits until some agent can be given tasks.
+    pub async fn linked_to_one(&self, limit: Duration) {
+        self.until_open(|open| open > 0, limit).await;
+    }
+
+    async fn until_open(&self, is_enough: impl Fn(usize) -> bool, limit: Duration) {
         let until = Instant::now() + limit;
-        while self.open().await != Some(agents) {
+        while !self.open().await.is_some_and(&is_enough) {
             let said = || self.process.output();
             assert!(Instant::now() < until, "{}: {}", self.name, said());
             tokio::time::sleep(Duration::from_millis(50)).await;
--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -1,9 +1,11 @@
 //! A randomized soak: faults from outside, promises checked from what callers and upstreams
 //! see. `SOAK=first..last` plays other seeds; the default ones are a short run for CI.
+//! `SOAK_SIZE=entries,agents` plays them in a larger system.
 
 use crate::job::{Reply, submit_at};
 use crate::site::{Site, body};
 use cassiarock_test_support::proxy::{Direction, Fault, Scope};
+use cassiarock_transient::roster::LINKS;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::collections::BTreeMap;
@@ -20,13 +22,17 @@
     113,
 ];
 
-const ENTRIES: usize = 2;
-const AGENTS: usize = 4;
+/// Entries and agents.
+const SIZE: (usize, usize) = (2, 4);
 
 /// How long faults come, and how long the system then has to be well again.
 const FAULTS: Duration = Duration::from_secs(6);
 const CALM: Duration = Duration::from_secs(4);
 
+/// How long all links may take at the start, and after the faults.
+const START: Duration = Duration::from_secs(20);
+const WELL: Duration = Duration::from_secs(12);
+
 /// The pause of each of the callers between two jobs, at most.
 const PAUSE: u64 = 60;
 
@@ -50,8 +56,19 @@
     }
 }
 
+/// The size of the system that is played.
+fn size() -> (usize, usize) {
+    let size = std::env::var("SOAK_SIZE").ok().and_then(|text| {
+        let (entries, agents) = text.split_once(',')?;
+        Some((entries.parse().ok()?, agents.parse().ok()?))
+    });
+    size.unwrap_or(SIZE)
+}
+
 async fn play(seed: u64) {
-    let mut site = Site::start(ENTRIES, AGENTS).await;
+    let (entries, agents) = size();
+    let mut site = Site::start_unlinked(entries, agents).await;
+    all_linked(&site, START).await;
     let urls: Vec<String> = site.entries.iter().map(|entry| entry.job("")).collect();
     let replies = Replies::default();
     let until = tokio::time::Instant::now() + FAULTS + CALM;
@@ -113,10 +130,14 @@
     let mut said = Vec::new();
     let end = tokio::time::Instant::now() + FAULTS;
     while tokio::time::Instant::now() < end {
-        let (entry, agent) = (rng.random_range(0..ENTRIES), rng.random_range(0..AGENTS));
-        let kind = rng.random_range(0..14);
-        said.push(format!("{kind} entry {entry} agent {agent}"));
-        strike(kind, entry, agent, site, &mut rng);
+        // A larger system has more trouble at a time.
+        for _ in 0..site.entries.len().div_ceil(SIZE.0) {
+            let entry = rng.random_range(0..site.entries.len());
+            let agent = rng.random_range(0..site.agents.len());
+            let kind = rng.random_range(0..14);
+            said.push(format!("{kind} entry {entry} agent {agent}"));
+            strike(kind, entry, agent, site, &mut rng);
+        }
         let pause = Duration::from_millis(rng.random_range(50..900));
         tokio::time::sleep(pause).await;
     }
@@ -168,6 +189,17 @@
     }
 }
 
+/// Waits until each entry has its agents: in a large system, one at least.
+async fn all_linked(site: &Site, limit: Duration) {
+    for entry in &site.entries {
+        if site.entries.len() <= LINKS {
+            entry.linked(site.agents.len(), limit).await;
+        } else {
+            entry.linked_to_one(limit).await;
+        }
+    }
+}
+
 async fn heal(site: &mut Site) {
     for entry in &mut site.entries {
         entry.process.resume();
@@ -181,9 +213,7 @@
             upstream.with_fault(|fault| *fault = Default::default());
         }
     }
-    for entry in &site.entries {
-        entry.linked(AGENTS, CALM * 3).await;
-    }
+    all_linked(site, WELL).await;
 }
 
 fn check(seed: u64, site: &Site, replies: &Replies, trouble: &[String]) {
