Take the offering of room back out

Conclusion: what an entry with a long queue places on room that it is offered is late, or is given up after it ran, and takes the room of work that would have been on time.

--- a/crates/cassiarock-dispatch/src/agent.rs
+++ b/crates/cassiarock-dispatch/src/agent.rs
@@ -173,15 +173,13 @@
                 serial,
                 echo,
                 orders,
-                waiting,
             } => {
                 let echo = Duration::from_millis(echo);
-                self.host.heard(entry, echo, waiting);
                 self.host.order(entry, serial, echo, orders, now)
             }
             Message::Halt(attempts) => self.host.halt(entry, &attempts, now),
-            Message::EntryBeat { echo, waiting, .. } => {
-                self.host.heard(entry, Duration::from_millis(echo), waiting);
+            Message::EntryBeat { echo, .. } => {
+                self.host.heard(entry, Duration::from_millis(echo));
                 Vec::new()
             }
             Message::Entries(entries) => {
--- a/crates/cassiarock-dispatch/src/entry.rs
+++ b/crates/cassiarock-dispatch/src/entry.rs
@@ -215,11 +215,7 @@
             .links()
             .filter(|link| link.peer.role == Role::Entry);
         for link in entries {
-            let message = Message::EntryBeat {
-                echo: 0,
-                version,
-                waiting: 0,
-            };
+            let message = Message::EntryBeat { echo: 0, version };
             // A link that does not take it is about to end.
             let _ = link.send(Frame::Transient(message));
         }
--- a/crates/cassiarock-transient/src/host/entries.rs
+++ b/crates/cassiarock-transient/src/host/entries.rs
@@ -52,35 +52,11 @@
         self.runs.has(entry)
     }
 
-    /// A frame of an entry: `echo` is this agent's clock as the entry last heard it, `waiting`
-    /// what its waiting tasks want, in thousandths of a core.
-    pub fn heard(&mut self, entry: &Process, echo: Duration, waiting: u64) {
-        let owner = self.owners.entry(entry.clone()).or_default();
-        owner.heard(echo, waiting);
-    }
-
-    /// Tells the entry with the most waiting tasks of room that has become free.
-    ///
-    /// The load that this answers is a burst. An end is told to the entry whose task it was; an
-    /// entry with few tasks here heard of the room with the next heartbeat, when others had
-    /// taken it: of eight entries with like callers some had 50 jobs waiting and refused one
-    /// in ten, others none.
-    pub(super) fn offer(&mut self, now: Duration, actions: &mut Vec<Action>) {
-        let free = self.free().cpu;
-        let owners = self.owners.iter_mut();
-        let waiting =
-            owners.filter(|(_, owner)| owner.is_linked && !owner.is_retired && owner.waiting > 0);
-        let Some((entry, owner)) = waiting.max_by_key(|(_, owner)| owner.waiting) else {
-            return;
-        };
-        // The next room goes to another one, unless this one says again that it needs more.
-        owner.waiting = owner.waiting.saturating_sub(free);
-        if owner.told == now {
-            return;
+    /// An entry's heartbeat.
+    pub fn heard(&mut self, entry: &Process, echo: Duration) {
+        if let Some(owner) = self.owners.get_mut(entry) {
+            owner.heard(echo);
         }
-        owner.told = now;
-        let entry = entry.clone();
-        actions.push(self.beat_for(&entry, now));
     }
 
     /// A heartbeat to each entry that has been told nothing for a while. Ends carry the same,
--- a/crates/cassiarock-transient/src/host/looks.rs
+++ b/crates/cassiarock-transient/src/host/looks.rs
@@ -22,7 +22,6 @@
     pub fn look(&mut self, look: &Look, now: Duration) -> Vec<Action> {
         let mut actions = Vec::new();
         self.lease.hear(Some(look.clock), now);
-        let before = self.runs.len();
         for (number, job, attempt, end) in &look.ended {
             if *number <= self.seen {
                 continue;
@@ -32,9 +31,6 @@
                 self.end(&task, *end, now, &mut actions);
             }
         }
-        if self.runs.len() < before {
-            self.offer(now, &mut actions);
-        }
         self.reconcile(look, now, &mut actions);
         if !self.is_known {
             self.is_known = look.running.is_empty();
--- a/crates/cassiarock-transient/src/host/orders.rs
+++ b/crates/cassiarock-transient/src/host/orders.rs
@@ -14,8 +14,7 @@
 const STOP_AGAIN: Duration = Duration::from_millis(100);
 
 impl Host {
-    /// An entry orders tasks. `echo` is this agent's clock as the entry last heard it;
-    /// [`Self::heard`] comes first.
+    /// An entry orders tasks. `echo` is this agent's clock as the entry last heard it.
     ///
     /// An order that waited in a socket while this process was frozen is worthless: its entry
     /// may have started the tasks elsewhere. The echo shows it, whatever delayed the order.
@@ -29,6 +28,7 @@
     ) -> Vec<Action> {
         let mut actions = Vec::new();
         let owner = self.owners.entry(entry.clone()).or_default();
+        owner.heard(echo);
         owner.serial = serial;
         let age = now.saturating_sub(echo);
         let mut endings = Vec::new();
--- a/crates/cassiarock-transient/src/host/owner.rs
+++ b/crates/cassiarock-transient/src/host/owner.rs
@@ -13,8 +13,6 @@
     pub(super) is_retired: bool,
     /// This agent's clock as the entry last echoed it.
     pub(super) echo: Duration,
-    /// What its waiting tasks wanted when it was last heard, less what was offered since.
-    pub(super) waiting: u64,
     /// The number of its last orders.
     pub(super) serial: u64,
     /// When it was last told of the room.
@@ -31,9 +29,8 @@
         self.serial = 0;
     }
 
-    pub(super) fn heard(&mut self, echo: Duration, waiting: u64) {
+    pub(super) fn heard(&mut self, echo: Duration) {
         self.echo = self.echo.max(echo);
-        self.waiting = waiting;
     }
 
     pub(super) fn keep(&mut self, endings: &[Ending], now: Duration, keep: Duration) {
--- a/crates/cassiarock-transient/src/message.rs
+++ b/crates/cassiarock-transient/src/message.rs
@@ -152,9 +152,6 @@
         echo: u64,
         /// The orders.
         orders: Vec<Order>,
-        /// What the entry's waiting tasks want, in thousandths of a core.
-        #[serde(default)]
-        waiting: u64,
     },
     /// Entry to agent: stop these; nobody waits for them any more.
     Halt(Vec<Attempt>),
@@ -164,9 +161,6 @@
         echo: u64,
         /// The version of the configuration in force at the entry.
         version: u64,
-        /// What the entry's waiting tasks want, in thousandths of a core.
-        #[serde(default)]
-        waiting: u64,
     },
     /// Agent to entry: a heartbeat.
     AgentBeat {
--- a/crates/cassiarock-transient/src/scheduler/admit.rs
+++ b/crates/cassiarock-transient/src/scheduler/admit.rs
@@ -84,13 +84,6 @@
         Ok(line("admitted"))
     }
 
-    /// The processor room that all waiting tasks want.
-    pub(super) fn waiting(&self) -> u64 {
-        let queued = self.queue.iter();
-        let queued = queued.filter_map(|(.., number)| self.works.get(number));
-        queued.map(waiting_cpu).sum()
-    }
-
     /// The processor room that waiting tasks want that go before `work`, and their work in
     /// core-milliseconds.
     fn work_before(&self, work: &Work) -> (u64, f64) {
--- a/crates/cassiarock-transient/src/scheduler/mod.rs
+++ b/crates/cassiarock-transient/src/scheduler/mod.rs
@@ -300,14 +300,12 @@
 
     /// Sends each agent its own clock, unless orders have carried it lately.
     fn heartbeat(&mut self, now: Duration, actions: &mut Vec<Action>) {
-        let waiting = self.waiting();
         for (process, agent) in &mut self.agents {
             if agent.is_linked && now >= agent.echoed + BEAT {
                 agent.echoed = now;
                 let message = Message::EntryBeat {
                     echo: agent.clock,
                     version: self.version,
-                    waiting,
                 };
                 actions.push(Action::Send(process.clone(), message));
             }
@@ -342,7 +340,6 @@
         now: Duration,
         actions: &mut Vec<Action>,
     ) {
-        let waiting = self.waiting();
         for (process, orders) in orders {
             let Some(agent) = self.agents.get_mut(&process) else {
                 continue;
@@ -351,7 +348,6 @@
                 serial: agent.send(now),
                 echo: agent.clock,
                 orders,
-                waiting,
             };
             actions.push(Action::Send(process, message));
         }
