Keep dialling an entry whose link opened as its dial was given up

Found in reading: a link that had opened just as its dial was dropped was taken for a link of the roster; when it ended, the roster waited for a dial that nobody made, and never dialled that entry again.

--- a/crates/cassiarock-peer/src/dial.rs
+++ b/crates/cassiarock-peer/src/dial.rs
@@ -80,21 +80,26 @@
         let mut lost = Instant::now();
         while !self.events.is_closed() {
             let began = Instant::now();
-            tokio::select! {
-                opened = timeout(tempo.handshake, self.open()) => match opened {
-                    Ok(Ok(opened)) => {
-                        self.run(opened).await;
-                        lost = Instant::now();
-                    }
-                    Ok(Err(error)) => log::debug!(peer:% = self.peer; "not linked: {error}"),
-                    Err(_) => log::debug!(peer:% = self.peer; "not linked: no answer"),
-                },
+            let opened = tokio::select! {
+                opened = timeout(tempo.handshake, self.open()) => Some(opened),
                 // What is under way may have been sent before the peer was there.
-                () = self.nudged.notified() => {}
+                () = self.nudged.notified() => None,
+            };
+            let is_there = opened.is_none();
+            match opened {
+                Some(Ok(Ok(opened))) => {
+                    self.run(opened).await;
+                    lost = Instant::now();
+                }
+                Some(Ok(Err(error))) => log::debug!(peer:% = self.peer; "not linked: {error}"),
+                Some(Err(_)) => log::debug!(peer:% = self.peer; "not linked: no answer"),
+                None => {}
             }
             pause = next_pause(pause, began.elapsed(), &tempo, lost.elapsed());
-            if self.rest(jittered(pause)).await {
+            if is_there || self.rest(jittered(pause)).await {
                 pause = SHORTEST;
+                let share = rand::random();
+                sleep(SPREAD.mul_f64(share)).await;
             }
         }
     }
@@ -109,11 +114,7 @@
     async fn rest(&self, pause: Duration) -> bool {
         tokio::select! {
             () = sleep(pause) => false,
-            () = self.nudged.notified() => {
-                let share = rand::random();
-                sleep(SPREAD.mul_f64(share)).await;
-                true
-            }
+            () = self.nudged.notified() => true,
         }
     }
 
--- a/crates/cassiarock-peer/tests/dial.rs
+++ b/crates/cassiarock-peer/tests/dial.rs
@@ -97,6 +97,25 @@
     assert!(matches!(up, Ok(Some(Event::Up(_)))), "{up:?}");
 }
 
+// The same while a dial is left unanswered: that one went to the VM before the entry was there.
+#[tokio::test]
+async fn a_peer_that_is_known_to_be_back_is_dialled_anew_while_a_dial_is_unanswered() {
+    let (address, listener, queued) = silent().await;
+    let long = Duration::from_secs(20);
+    let tempo = Tempo {
+        connect: long,
+        handshake: long,
+        ..Tempo::default()
+    };
+    let (dialer, mut events) = dial(address, tempo);
+    sleep(ms(120)).await;
+    drop((listener, queued));
+    let _server = serve(address).await;
+    dialer.nudge();
+    let up = timeout(ms(200), events.recv()).await;
+    assert!(matches!(up, Ok(Some(Event::Up(_)))), "{up:?}");
+}
+
 #[tokio::test]
 async fn a_nudge_leaves_an_open_link_alone() {
     let address = closed().await;
--- a/crates/cassiarock-transient/src/roster.rs
+++ b/crates/cassiarock-transient/src/roster.rs
@@ -128,13 +128,12 @@
         (was != Some(Seat::Known)).then_some(Step::Drop(address))
     }
 
-    /// The dialled link with this serial number is open.
+    /// The dialled link with this serial number is open. One whose dial has been given up
+    /// meanwhile is about to end, and is not dialled again by itself.
     pub fn up(&mut self, address: SocketAddr, entry: Process, serial: u64) {
-        let seat = self
-            .ranks
-            .get(&address)
-            .and_then(|rank| self.entries.get_mut(rank));
-        if let Some(seat) = seat {
+        let rank = self.ranks.get(&address);
+        let seat = rank.and_then(|rank| self.entries.get_mut(rank));
+        if let Some(seat @ Seat::Dialled(_)) = seat {
             *seat = Seat::Linked {
                 entry,
                 serial,
--- a/crates/cassiarock-transient/tests/roster.rs
+++ b/crates/cassiarock-transient/tests/roster.rs
@@ -245,3 +245,18 @@
     assert!(world.roster.tell(address(0)), "it is news again");
     assert!(!world.roster.tell(address(1)));
 }
+
+// A dial was given up just as its link opened. The agent took the link for its own; when it
+// ended, it waited for a dial that nobody made, and the entry was never linked again.
+#[test]
+fn a_link_that_opens_after_its_dial_was_given_up_counts_for_nothing() {
+    let mut roster = Roster::new("agent-1");
+    let at = address(1);
+    roster.tell(at);
+    assert_eq!(roster.poll(ms(0), |_| false), [Step::Dial(at)]);
+    assert_eq!(roster.forget(at), Some(Step::Drop(at)));
+    roster.tell(at);
+    roster.up(at, process(at), 1);
+    roster.down(1, ms(10));
+    assert_eq!(roster.poll(ms(20), |_| false), [Step::Dial(at)]);
+}
