Use one set of links and one loop that feeds an actor

cassiarock-dispatch had its own Links beside cassiarock_peer::Links, with the same open, close, send and len; the one of the peer package now tells the newest link as well, and a function counts messages that cannot be sent. The loop that hands batches to an actor stood in the entry, the agent and cassiarock-dispatch; it is Pump::drive. Behaviour is unchanged.

--- a/crates/cassiarock-agent/src/run.rs
+++ b/crates/cassiarock-agent/src/run.rs
@@ -250,14 +250,8 @@
     };
     async move {
         let actor = Agent::spawn(agent);
-        let mut pump = Pump::new(received);
-        let mut idle = Duration::ZERO;
-        while let Some(batch) = pump.next(idle).await {
-            let Ok(next) = actor.ask(Batch(batch)).await else {
-                return;
-            };
-            idle = next;
-        }
+        let ask = |batch| async { actor.ask(Batch(batch)).await.ok() };
+        Pump::new(received).drive(ask).await;
     }
 }
 
--- a/crates/cassiarock-dispatch/src/agent.rs
+++ b/crates/cassiarock-dispatch/src/agent.rs
@@ -1,11 +1,11 @@
 //! The agent's actor: a host with its links and its upstream.
 
 use crate::line::tell;
-use crate::links::Links;
+use crate::links::send;
 use crate::orders::Orders;
 use cassiarock_adapter::reports::Report;
 use cassiarock_id::{Name, Process};
-use cassiarock_peer::{Dialer, Event, Identity, Key};
+use cassiarock_peer::{Dialer, Event, Identity, Key, Links};
 use cassiarock_process::{Clock, Status};
 use cassiarock_transient::host::{Action, Answer, Look, Task};
 use cassiarock_transient::roster::{Roster, Step};
@@ -157,7 +157,7 @@
             Event::Frame(..) => Vec::new(),
             Event::Down(peer, serial) => {
                 self.roster.down(serial, now);
-                if self.links.close(&peer, serial) {
+                if self.links.close(&peer.process, serial) {
                     log::warn!(dependency:% = peer.process; "link lost");
                     self.host.unlink(&peer.process);
                 }
@@ -227,7 +227,7 @@
     fn carry_out(&mut self, actions: Vec<Action>) {
         for action in actions {
             match action {
-                Action::Send(to, message) => self.links.send(&to, message),
+                Action::Send(to, message) => send(&self.links, &to, message),
                 Action::Start { task, spec, until } => {
                     if let Some(worker) = self.host.worker() {
                         self.orders.start(worker.id.clone(), task, spec, until);
--- a/crates/cassiarock-dispatch/src/entry.rs
+++ b/crates/cassiarock-dispatch/src/entry.rs
@@ -1,11 +1,11 @@
 //! The entry's actor: a scheduler with its links and callers.
 
 use crate::line::tell;
-use crate::links::Links;
+use crate::links::send;
 use cassiarock_adapter::callers::Call;
 use cassiarock_adapter::configuration;
 use cassiarock_id::{Name, Process};
-use cassiarock_peer::Event;
+use cassiarock_peer::{Event, Links};
 use cassiarock_process::{Clock, Status};
 use cassiarock_transient::scheduler::{Action, Answer, Stage};
 use cassiarock_transient::{Message, Scheduler, Table};
@@ -152,7 +152,7 @@
             Event::Frame(peer, Frame::Transient(message)) => self.message(&peer, message, now),
             Event::Frame(..) => Vec::new(),
             Event::Down(peer, serial) => {
-                if self.links.close(&peer, serial) {
+                if self.links.close(&peer.process, serial) {
                     log::warn!(dependency:% = peer.process, role:? = peer.role; "link lost");
                     self.scheduler.unlink(&peer.process);
                     // Agents have its address; new ones are told of it again when it is back.
@@ -167,14 +167,14 @@
         match (peer.role, message) {
             (Role::Entry, Message::EntryBeat { version, .. }) => {
                 if version > self.version() {
-                    self.links.send(&peer.process, Message::AskConfiguration);
+                    send(&self.links, &peer.process, Message::AskConfiguration);
                 }
                 Vec::new()
             }
             (Role::Entry, Message::AskConfiguration) => {
                 if let Some((version, text)) = self.text.clone() {
                     let message = Message::Configuration { version, text };
-                    self.links.send(&peer.process, message);
+                    send(&self.links, &peer.process, message);
                 }
                 Vec::new()
             }
@@ -192,7 +192,7 @@
             // Only the new one: the whole list to all agents would be 100 MB with 600 entries.
             let news = vec![peer.address.clone()];
             for agent in self.scheduler.linked() {
-                self.links.send(agent, Message::Entries(news.clone()));
+                send(&self.links, agent, Message::Entries(news.clone()));
             }
         }
     }
@@ -200,7 +200,7 @@
     fn tell_entries(&self, agent: &Process) {
         if !self.entries.is_empty() {
             let entries = self.entries.iter().cloned().collect();
-            self.links.send(agent, Message::Entries(entries));
+            send(&self.links, agent, Message::Entries(entries));
         }
     }
 
@@ -212,7 +212,7 @@
         let version = self.version();
         let entries = self
             .links
-            .links()
+            .all()
             .filter(|link| link.peer.role == Role::Entry);
         for link in entries {
             let message = Message::EntryBeat { echo: 0, version };
@@ -247,7 +247,7 @@
     fn carry_out(&mut self, actions: Vec<Action>) {
         for action in actions {
             match action {
-                Action::Send(to, message) => self.links.send(&to, message),
+                Action::Send(to, message) => send(&self.links, &to, message),
                 Action::Answer(number, answer) => {
                     metrics::counter!("cassiarock_answers_total", "answer" => label(answer))
                         .increment(1);
--- a/crates/cassiarock-dispatch/src/links.rs
+++ b/crates/cassiarock-dispatch/src/links.rs
@@ -1,11 +1,9 @@
-//! The open links with each peer.
+//! The times of links, and messages over them.
 
 use cassiarock_id::Process;
-use cassiarock_peer::{Link, Tempo};
+use cassiarock_peer::{Links, Tempo};
 use cassiarock_transient::{Message, timing};
-use cassiarock_wire::{Frame, Hello};
-use std::collections::HashMap;
-use std::sync::Arc;
+use cassiarock_wire::Frame;
 use std::time::Duration;
 
 /// The longest pause before a peer is dialled again: a restarted entry has its agents back
@@ -39,50 +37,9 @@
     }
 }
 
-/// The open links with each process, the newest last. Two processes that dial each other have
-/// two; what goes to one peer goes over its newest link.
-#[derive(Debug, Default)]
-pub(crate) struct Links(HashMap<Process, Vec<Link>>);
-
-impl Links {
-    pub(crate) fn open(&mut self, link: Link) {
-        let process = link.peer.process.clone();
-        self.0.entry(process).or_default().push(link);
-    }
-
-    /// Whether a frame from `peer` came over its newest link.
-    pub(crate) fn is_newest(&self, peer: &Arc<Hello>) -> bool {
-        let newest = self.0.get(&peer.process).and_then(|links| links.last());
-        newest.is_some_and(|link| Arc::ptr_eq(&link.peer, peer))
-    }
-
-    /// A link is gone. Whether it was the last one.
-    pub(crate) fn close(&mut self, peer: &Hello, serial: u64) -> bool {
-        let Some(links) = self.0.get_mut(&peer.process) else {
-            return false;
-        };
-        links.retain(|link| link.serial != serial);
-        let is_last = links.is_empty();
-        if is_last {
-            self.0.remove(&peer.process);
-        }
-        is_last
-    }
-
-    pub(crate) fn send(&self, to: &Process, message: Message) {
-        let newest = self.0.get(to).and_then(|links| links.last());
-        let is_sent = newest.is_some_and(|link| link.send(Frame::Transient(message)));
-        if !is_sent {
-            metrics::counter!("cassiarock_unsent_messages_total").increment(1);
-        }
-    }
-
-    /// All links, older ones too: one that is never spoken on is taken for dead.
-    pub(crate) fn links(&self) -> impl Iterator<Item = &Link> {
-        self.0.values().flatten()
-    }
-
-    pub(crate) fn len(&self) -> usize {
-        self.0.len()
+/// Sends a message over the newest link with `to`; one that cannot be sent is counted.
+pub(crate) fn send(links: &Links, to: &Process, message: Message) {
+    if !links.send(to, Frame::Transient(message)) {
+        metrics::counter!("cassiarock_unsent_messages_total").increment(1);
     }
 }
--- a/crates/cassiarock-dispatch/src/run/agent.rs
+++ b/crates/cassiarock-dispatch/src/run/agent.rs
@@ -1,15 +1,14 @@
 //! An agent from its settings to its end.
 
-use super::{FLUSH, KEY, bind, drive, identity, leave, monitor, serve};
+use super::{FLUSH, KEY, bind, identity, leave, monitor, serve};
 use crate::agent::{Agent, Batch, Input};
-use crate::links::Links;
 use crate::orders::Orders;
 use crate::reload::reload;
 use crate::{Error, directory};
 use cassiarock_adapter::{Settings, Store, Worker, reports};
 use cassiarock_id::{Process, Wall};
-use cassiarock_peer::{Event, Identity, Key};
-use cassiarock_process::{BACKLOG, Clock, Parts, Report, Stage, Status, forward, until};
+use cassiarock_peer::{Event, Identity, Key, Links};
+use cassiarock_process::{BACKLOG, Clock, Parts, Pump, Report, Stage, Status, forward, until};
 use cassiarock_transient::Host;
 use cassiarock_transient::roster::Roster;
 use cassiarock_wire::Role;
@@ -69,7 +68,7 @@
         let mut parts = Parts::default();
         parts.spawn_vital(
             "the actor",
-            drive(received, move |batch| {
+            Pump::new(received).drive(move |batch| {
                 let actor = actor.clone();
                 async move { actor.ask(Batch(batch)).await.ok() }
             }),
@@ -123,7 +122,7 @@
     Agent {
         host: Host::new(),
         clock: Clock::new(),
-        links: Links::default(),
+        links: Links::new(),
         roster: Roster::new(identity.process.name.clone()),
         dialers: HashMap::new(),
         identity,
--- a/crates/cassiarock-dispatch/src/run/entry.rs
+++ b/crates/cassiarock-dispatch/src/run/entry.rs
@@ -1,16 +1,17 @@
 //! An entry from its settings to its end.
 
-use super::{FLUSH, KEY, bind, drive, identity, leave, monitor};
+use super::{FLUSH, KEY, bind, identity, leave, monitor};
 use crate::entry::{Batch, Entry, Input};
-use crate::links::Links;
 use crate::reload::reload;
 use crate::{Error, directory, follow};
 use cassiarock_adapter::callers::{self, Call, Door};
 use cassiarock_adapter::{Settings, Store, configuration};
 use cassiarock_caller::Limit;
 use cassiarock_id::{Process, Wall};
-use cassiarock_peer::{Dialer, Event, Identity, Key, Listener};
-use cassiarock_process::{BACKLOG, Clock, Fault, Parts, Report, Stage, Status, forward, until};
+use cassiarock_peer::{Dialer, Event, Identity, Key, Links, Listener};
+use cassiarock_process::{
+    BACKLOG, Clock, Fault, Parts, Pump, Report, Stage, Status, forward, until,
+};
 use cassiarock_transient::{Scheduler, Table};
 use cassiarock_wire::Role;
 use kameo::actor::Spawn;
@@ -97,7 +98,7 @@
         let mut parts = Parts::default();
         parts.spawn_vital(
             "the actor",
-            drive(received, move |batch| {
+            Pump::new(received).drive(move |batch| {
                 let actor = actor.clone();
                 async move { actor.ask(Batch(batch)).await.ok() }
             }),
@@ -166,7 +167,7 @@
     Entry {
         scheduler: Scheduler::new(),
         clock: Clock::new(),
-        links: Links::default(),
+        links: Links::new(),
         callers: HashMap::new(),
         text: None,
         table,
--- a/crates/cassiarock-dispatch/src/run/mod.rs
+++ b/crates/cassiarock-dispatch/src/run/mod.rs
@@ -11,12 +11,12 @@
 use cassiarock_adapter::{Settings, reports};
 use cassiarock_id::Process;
 use cassiarock_peer::Identity;
-use cassiarock_process::{Monitor, Parts, Pump, Stage, Status, until};
+use cassiarock_process::{Monitor, Parts, Stage, Status, until};
 use cassiarock_wire::Role;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::watch;
 
 /// The platform's settings hold no secret. The key keeps processes of other systems apart
 /// that dial by mistake; it is no protection against an attacker on the platform's network.
@@ -38,22 +38,6 @@
     }
 }
 
-/// Hands inputs to an actor in batches, until it or all senders are gone. The actor answers
-/// for how long nothing is due.
-async fn drive<T, F>(received: mpsc::Receiver<T>, mut handle: impl FnMut(Vec<T>) -> F)
-where
-    F: Future<Output = Option<Duration>>,
-{
-    let mut pump = Pump::new(received);
-    let mut idle = Duration::ZERO;
-    while let Some(batch) = pump.next(idle).await {
-        let Some(next) = handle(batch).await else {
-            return;
-        };
-        idle = next;
-    }
-}
-
 /// Waits for `leaving`, but no longer than the platform lets the process live, and not if it is
 /// told to end at once.
 async fn leave(
--- a/crates/cassiarock-entry/src/run.rs
+++ b/crates/cassiarock-entry/src/run.rs
@@ -237,14 +237,8 @@
 
 async fn act(entry: Entry, received: mpsc::Receiver<Input>) {
     let actor = Entry::spawn(entry);
-    let mut pump = Pump::new(received);
-    let mut idle = Duration::ZERO;
-    while let Some(batch) = pump.next(idle).await {
-        let Ok(next) = actor.ask(Batch(batch)).await else {
-            return;
-        };
-        idle = next;
-    }
+    let ask = |batch| async { actor.ask(Batch(batch)).await.ok() };
+    Pump::new(received).drive(ask).await;
 }
 
 async fn serve(
--- a/crates/cassiarock-peer/src/links.rs
+++ b/crates/cassiarock-peer/src/links.rs
@@ -2,8 +2,9 @@
 
 use crate::Link;
 use cassiarock_id::Process;
-use cassiarock_wire::Frame;
+use cassiarock_wire::{Frame, Hello};
 use std::collections::HashMap;
+use std::sync::Arc;
 
 /// All open links. A peer may have two for a while: a silent one that has not been found
 /// dead yet beside its replacement, or two that both sides dialled at once.
@@ -45,8 +46,23 @@
     /// Queues a frame on the newest link. False if there is none or its peer does not read.
     #[must_use]
     pub fn send(&self, peer: &Process, frame: Frame) -> bool {
-        let newest = self.links.get(peer).and_then(|links| links.last());
-        newest.is_some_and(|link| link.send(frame))
+        self.newest(peer).is_some_and(|link| link.send(frame))
+    }
+
+    /// Whether a frame from `peer` came over its newest link.
+    #[must_use]
+    pub fn is_newest(&self, peer: &Arc<Hello>) -> bool {
+        let newest = self.newest(&peer.process);
+        newest.is_some_and(|link| Arc::ptr_eq(&link.peer, peer))
+    }
+
+    fn newest(&self, peer: &Process) -> Option<&Link> {
+        self.links.get(peer).and_then(|links| links.last())
+    }
+
+    /// All links, older ones too: one that is never spoken on is taken for dead.
+    pub fn all(&self) -> impl Iterator<Item = &Link> {
+        self.links.values().flatten()
     }
 
     /// Whether there is a link with `peer`.
--- a/crates/cassiarock-process/src/pump.rs
+++ b/crates/cassiarock-process/src/pump.rs
@@ -55,4 +55,33 @@
             Ok(_) | Err(_) => Some(batch),
         }
     }
+
+    /// Hands the inputs to an actor in batches, until it or all senders are gone. The actor
+    /// answers for how long nothing is due.
+    ///
+    /// ```
+    /// # #[tokio::main(flavor = "current_thread")]
+    /// # async fn main() {
+    /// let (sender, inputs) = tokio::sync::mpsc::channel(8);
+    /// sender.send(1).await.ok();
+    /// let pump = cassiarock_process::Pump::new(inputs);
+    /// pump.drive(|batch| async move {
+    ///     assert_eq!(batch, [1]);
+    ///     None
+    /// })
+    /// .await;
+    /// # }
+    /// ```
+    pub async fn drive<F>(mut self, mut handle: impl FnMut(Vec<T>) -> F)
+    where
+        F: Future<Output = Option<Duration>>,
+    {
+        let mut idle = Duration::ZERO;
+        while let Some(batch) = self.next(idle).await {
+            let Some(next) = handle(batch).await else {
+                return;
+            };
+            idle = next;
+        }
+    }
 }
