Work out an upstream's pace in one place

The pace in terms of the median upstream was worked out three times and its bound written twice; a lease had its own copy of millis; an entry counted its open agents twice for each batch of inputs. Behaviour is unchanged.

--- a/crates/cassiarock-dispatch/src/entry.rs
+++ b/crates/cassiarock-dispatch/src/entry.rs
@@ -270,10 +270,11 @@
     }
 
     fn report(&self, now: Duration) {
-        let ready = self.text.is_some() && self.scheduler.open(now) > 0;
+        let open = self.scheduler.open(now);
+        let ready = self.text.is_some() && open > 0;
         let (jobs, links, version) = (self.scheduler.jobs(), self.links.len(), self.version());
         metrics::gauge!("cassiarock_jobs").set(jobs as f64);
-        metrics::gauge!("cassiarock_agents_open").set(self.scheduler.open(now) as f64);
+        metrics::gauge!("cassiarock_agents_open").set(open as f64);
         self.status.send_if_modified(|status| {
             let before = status.clone();
             status.ready = ready && !status.leaving;
--- a/crates/cassiarock-transient/src/host/lease.rs
+++ b/crates/cassiarock-transient/src/host/lease.rs
@@ -1,5 +1,6 @@
 //! The upstream's clock and how far its leases reach.
 
+use super::millis;
 use crate::timing::{LEASE, STOP};
 use std::time::Duration;
 
@@ -72,7 +73,3 @@
         clock + millis(now.saturating_sub(at).mul_f64(rate))
     }
 }
-
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/cassiarock-transient/src/scheduler/agent.rs
+++ b/crates/cassiarock-transient/src/scheduler/agent.rs
@@ -105,6 +105,11 @@
         now.saturating_sub(self.heard) >= RECLAIM
     }
 
+    /// How long its tasks run in terms of the median upstream.
+    pub(super) fn pace(&self, median: f64) -> f64 {
+        f64::from(self.load.pace.max(1)) / median.max(1.0)
+    }
+
     pub(super) fn serves(&self, service: &str) -> bool {
         let upstream = self.upstream.as_ref();
         upstream.is_some_and(|upstream| &*upstream.service == service)
--- a/crates/cassiarock-transient/src/scheduler/kinds.rs
+++ b/crates/cassiarock-transient/src/scheduler/kinds.rs
@@ -27,7 +27,7 @@
 
     /// Whether any upstream of the service ever had so much room.
     pub(super) fn fit(&self, service: &str, demand: &Demand) -> bool {
-        let kinds = self.0.iter().filter(|(of, _)| &**of == service);
-        kinds.into_iter().any(|(_, room)| demand.fits(room))
+        let mut kinds = self.0.iter().filter(|(of, _)| &**of == service);
+        kinds.any(|(_, room)| demand.fits(room))
     }
 }
--- a/crates/cassiarock-transient/src/scheduler/place.rs
+++ b/crates/cassiarock-transient/src/scheduler/place.rs
@@ -18,8 +18,9 @@
 const FAILING: u8 = 40;
 
 /// An upstream whose tasks run this much longer than at the median one is kept out for tasks
-/// that would be late there. The kinds of upstream differ by less.
-const SLOW: f64 = 1.8;
+/// that would be late there, and overdue tasks are moved away from it. The kinds of upstream
+/// differ by less.
+pub(super) const SLOW: f64 = 1.8;
 
 /// At most one upstream in three is kept out: more would lose more room than faults do.
 const EJECTED: usize = 3;
@@ -174,7 +175,7 @@
                 && has_spread(work, stage, wanted, process)
         });
         let costs = fit.filter_map(|(process, agent)| {
-            let pace = f64::from(agent.load.pace.max(1)) / self.median.max(1.0);
+            let pace = agent.pace(self.median);
             let expected = work.expected[stage].mul_f64(pace);
             let would_be_late = now + expected > work.due;
             if pace > SLOW && would_be_late && now < work.latest() + work.chain {
--- a/crates/cassiarock-transient/src/scheduler/settle.rs
+++ b/crates/cassiarock-transient/src/scheduler/settle.rs
@@ -1,6 +1,7 @@
 //! What ends of attempts, lost agents and passed time make of the jobs.
 
 use super::admit::refused;
+use super::place::SLOW;
 use super::work::{Phase, Place, Task, Work};
 use super::{Action, Answer, Scheduler, Stage, told};
 use crate::Decision;
@@ -23,12 +24,9 @@
 /// A task is moved if it runs longer than this many times what was expected of it, ...
 const OVERDUE: f64 = 3.0;
 
-/// ... and this much longer, ...
+/// ... and this much longer, on an upstream that is slow.
 const OVERDUE_LEAST: Duration = Duration::from_millis(150);
 
-/// ... on an upstream whose tasks run this much longer than at the median one.
-const SLOW: f64 = 1.8;
-
 /// A task is moved at most this often: a task that is slow by itself gains nothing.
 const MOVES: u32 = 2;
 
@@ -80,8 +78,9 @@
     }
 
     fn done(&mut self, from: &Process, ending: &Ending, now: Duration, actions: &mut Vec<Action>) {
-        let median = self.median;
-        let pace = self.agents.get(from).map_or(100, |agent| agent.load.pace);
+        let agent = self.agents.get(from);
+        // An end comes from an agent that is known.
+        let pace = agent.map_or(1.0, |agent| agent.pace(self.median));
         let Some(work) = self.works.get_mut(&ending.attempt.number) else {
             return;
         };
@@ -92,8 +91,7 @@
         }
         let estimate = work.job.stages[stage].estimate.as_secs_f64();
         if estimate > 0.0 {
-            let slow = f64::from(pace.max(1)) / median.max(1.0);
-            let ratio = ending.ran.as_secs_f64() / slow / estimate;
+            let ratio = ending.ran.as_secs_f64() / pace / estimate;
             self.ratios.learn(&work.class.route, ratio);
         }
         if work.left == 0 {
@@ -311,9 +309,7 @@
         let slow: Vec<Process> = self
             .agents
             .iter()
-            .filter(|(_, agent)| {
-                f64::from(agent.load.pace) / median.max(1.0) > SLOW && agent.placed > 0
-            })
+            .filter(|(_, agent)| agent.pace(median) > SLOW && agent.placed > 0)
             .map(|(process, _)| process.clone())
             .collect();
         for process in slow {
