--- a/tests/failures/cluster.rs
+++ b/tests/failures/cluster.rs
@@ -132,6 +132,13 @@
         self.call(job, client(WAIT).post(url).json(&job.body()))
     }
 
+    /// Submits jobs, to one entry after the other.
+    pub fn submit_all(&self, jobs: &[Job]) -> Vec<JoinHandle<Reply>> {
+        let jobs = jobs.iter().enumerate();
+        jobs.map(|(at, job)| self.submit(at % self.entries.len(), job))
+            .collect()
+    }
+
     /// Cancels a job.
     pub fn cancel(&self, entry: usize, job: &Job) -> JoinHandle<Reply> {
         let base = self.entries[entry].child.url("callers");
--- a/tests/failures/refusal.rs
+++ b/tests/failures/refusal.rs
@@ -89,11 +89,7 @@
     let jobs: Vec<_> = (0..60)
         .map(|_| Job::new(10, 200).with_deadline_ms(700))
         .collect();
-    let flights: Vec<_> = jobs
-        .iter()
-        .enumerate()
-        .map(|(at, job)| cluster.submit(at % 2, job))
-        .collect();
+    let flights = cluster.submit_all(&jobs);
     let mut refused = Vec::new();
     for flight in flights {
         let reply = flight.await.unwrap();
--- a/tests/failures/worker.rs
+++ b/tests/failures/worker.rs
@@ -26,11 +26,7 @@
     let jobs: Vec<_> = (0..12)
         .map(|at| Job::new(1 + at, 60).with_deadline_ms(6000))
         .collect();
-    let flights: Vec<_> = jobs
-        .iter()
-        .enumerate()
-        .map(|(at, job)| cluster.submit(at % 2, job))
-        .collect();
+    let flights = cluster.submit_all(&jobs);
     let mut complete = 0;
     for flight in flights {
         let reply = flight.await.unwrap();
--- a/tests/platform/failures.rs
+++ b/tests/platform/failures.rs
@@ -29,11 +29,7 @@
     tokio::time::sleep(AGAIN).await;
     let again = submit(&site.entries[1], id, &body(6, 300), PATIENCE).await;
     assert_eq!(again, completed());
-    assert!(
-        site.witness.twice().is_empty(),
-        "{:?}",
-        site.witness.twice()
-    );
+    site.assert_never_twice();
 }
 
 // An agent freezes with tasks on its upstream, and wakes when they run elsewhere.
@@ -49,11 +45,7 @@
     tokio::time::sleep(Duration::from_secs(3)).await;
     site.agents[0].process.resume();
     assert_eq!(job.await.unwrap(), completed());
-    assert!(
-        site.witness.twice().is_empty(),
-        "{:?}",
-        site.witness.twice()
-    );
+    site.assert_never_twice();
 }
 
 // The links to the only entry are reset, and open again at once. Nothing is lost by it.
@@ -82,11 +74,7 @@
     let proxy = &site.entries[0].proxy;
     proxy.set(Scope::Existing, Direction::Both, Fault::Silent);
     assert_eq!(job.await.unwrap(), completed());
-    assert!(
-        site.witness.twice().is_empty(),
-        "{:?}",
-        site.witness.twice()
-    );
+    site.assert_never_twice();
 }
 
 #[tokio::test]
@@ -99,11 +87,7 @@
     let witness = site.witness.clone();
     site.agents[0].revive(witness);
     assert_eq!(job.await.unwrap(), completed());
-    assert!(
-        site.witness.twice().is_empty(),
-        "{:?}",
-        site.witness.twice()
-    );
+    site.assert_never_twice();
 }
 
 // Orders are left unanswered and carried out seconds later.
@@ -129,7 +113,7 @@
         began.elapsed()
     );
     tokio::time::sleep(Duration::from_millis(1_500)).await;
-    assert!(site.witness.twice().is_empty());
+    site.assert_never_twice();
     assert_eq!(site.witness.done(id), 8);
 }
 
--- a/tests/platform/links.rs
+++ b/tests/platform/links.rs
@@ -77,5 +77,5 @@
         let lost = output.lines().find(|line| line.contains("placing again"));
         assert_eq!(lost, None);
     }
-    assert!(site.witness.twice().is_empty());
+    site.assert_never_twice();
 }
--- a/tests/platform/site.rs
+++ b/tests/platform/site.rs
@@ -142,6 +142,12 @@
         site
     }
 
+    /// Fails if any task ran twice at the same time.
+    pub fn assert_never_twice(&self) {
+        let twice = self.witness.twice();
+        assert!(twice.is_empty(), "{twice:?}");
+    }
+
     /// Publishes a configuration with one queue.
     pub fn configure(&mut self) {
         self.version += 1;
