--- a/crates/cassiarock-transient/src/demand.rs
+++ b/crates/cassiarock-transient/src/demand.rs
@@ -39,6 +39,15 @@
         self.cpu <= room.cpu && self.memory <= room.memory && self.accelerators <= room.accelerators
     }
 
+    /// How many times `each` is there.
+    #[must_use]
+    pub fn holds(&self, each: &Self) -> u64 {
+        let times = |room: u64, each: u64| room.checked_div(each).unwrap_or(u64::MAX);
+        times(self.cpu, each.cpu)
+            .min(times(self.memory, each.memory))
+            .min(times(self.accelerators, each.accelerators))
+    }
+
     /// Both amounts together.
     #[must_use]
     pub const fn plus(&self, other: &Self) -> Self {
--- a/crates/cassiarock-transient/src/scheduler/place.rs
+++ b/crates/cassiarock-transient/src/scheduler/place.rs
@@ -48,15 +48,26 @@
         let mut orders: BTreeMap<Process, Vec<Order>> = BTreeMap::new();
         let numbers: Vec<u64> = self.queue.iter().map(|(.., number)| *number).collect();
         let mut behind = 0;
+        // Whether a job is started of which tasks found no room.
+        let mut is_one_open = false;
         for number in numbers {
             let Some(mut work) = self.works.remove(&number) else {
                 continue;
             };
+            if is_one_open && !work.was_placed && !self.fits_whole(&work, now) {
+                self.works.insert(number, work);
+                behind += 1;
+                if behind > BEHIND {
+                    break;
+                }
+                continue;
+            }
             self.queue.remove(&work.place());
             let all = self.place_work(&mut work, now, &mut orders, actions);
             if work.has_waiting() {
                 self.queue.insert(work.place());
             }
+            is_one_open |= !all && work.was_placed;
             self.works.insert(number, work);
             if !all {
                 behind += 1;
@@ -68,6 +79,26 @@
         self.send_orders(orders, now, actions);
     }
 
+    /// Whether there is room now for all tasks of the job that can start.
+    fn fits_whole(&self, work: &Work, now: Duration) -> bool {
+        let stages = work.job.stages.iter().enumerate();
+        let mut open = stages.filter(|(stage, _)| work.is_open(*stage));
+        open.all(|(stage, wanted)| {
+            let tasks = work.tasks[stage].iter();
+            let waiting = tasks.filter(|task| matches!(task.phase, Phase::Waiting(_)));
+            let agents = self.agents.values();
+            let fit = agents.filter(|agent| {
+                agent.is_open(now)
+                    && !agent.is_ejected
+                    && agent.serves(&work.class.service)
+                    && wanted.label.as_ref().is_none_or(|label| agent.has_label(label))
+            });
+            let most = u64::from(wanted.spread.unwrap_or(u32::MAX));
+            let room: u64 = fit.map(|agent| agent.free().holds(&wanted.demand).min(most)).sum();
+            waiting.count() as u64 <= room
+        })
+    }
+
     /// Whether all tasks that wait found room.
     fn place_work(
         &mut self,
--- a/crates/cassiarock-transient/src/scheduler/settle.rs
+++ b/crates/cassiarock-transient/src/scheduler/settle.rs
@@ -269,6 +269,10 @@
         let queue = self.queue.iter().take_while(|(is_late, ..)| !is_late);
         let passed: Vec<Place> = queue
             .filter(|(_, _, latest, _)| *latest < now)
+            .filter(|(.., number)| {
+                let work = self.works.get(number);
+                work.is_none_or(|work| !work.is_worth_ending(now))
+            })
             .copied()
             .collect();
         let others = self.queue.len() - passed.len();
--- a/crates/cassiarock-transient/src/scheduler/work.rs
+++ b/crates/cassiarock-transient/src/scheduler/work.rs
@@ -14,6 +14,9 @@
 /// those that started just early enough by the expected time, half were late.
 const MARGIN: f64 = 1.3;
 
+/// A late answer is worth one in this many of an answer in time.
+const LATE_WORTH: u32 = 5;
+
 /// A place in the queue.
 pub(super) type Place = (bool, bool, Duration, u64);
 
@@ -147,6 +150,17 @@
         (self.is_late, !self.was_placed, self.latest(), self.number)
     }
 
+    /// Whether a job that has started keeps its rank though its latest start has passed: it
+    /// can still be on time, or little of it is left to place.
+    pub(super) fn is_worth_ending(&self, now: Duration) -> bool {
+        if !self.was_placed {
+            return false;
+        }
+        let tasks = self.tasks.iter().flatten();
+        let waiting = tasks.filter(|task| matches!(task.phase, Phase::Waiting(_)));
+        now + self.chain <= self.due || waiting.count() as u32 * LATE_WORTH <= self.job.tasks()
+    }
+
     /// Whether it cannot be done in time any more. What runs already is left to end: its
     /// caller gets the answer, if late, and nothing more is spent on it.
     pub(super) fn is_hopeless(&self, now: Duration) -> bool {
