--- a/crates/cassiarock-transient/src/job.rs
+++ b/crates/cassiarock-transient/src/job.rs
@@ -75,6 +75,8 @@
     pub route: Name,
     /// The pool of upstreams that may run its tasks.
     pub service: Name,
+    /// How urgent its jobs are; 0 goes first.
+    pub priority: u32,
     /// How often a task may fail before its job has failed.
     pub attempts: u32,
     /// A job is on time up to this many times its longest chain of work, ...
--- a/crates/cassiarock-transient/src/scheduler/work.rs
+++ b/crates/cassiarock-transient/src/scheduler/work.rs
@@ -14,11 +14,14 @@
 /// those that started just early enough by the expected time, half were late.
 const MARGIN: f64 = 1.3;
 
+/// One job in this many goes by its latest start alone.
+const FAIR: u64 = 8;
+
 /// A late answer is worth one in this many of an answer in time.
 const LATE_WORTH: u32 = 5;
 
 /// A place in the queue.
-pub(super) type Place = (bool, bool, Duration, u64);
+pub(super) type Place = (bool, bool, u32, Duration, u64);
 
 /// Where a task stands.
 #[derive(Clone, Debug, PartialEq)]
@@ -147,7 +150,17 @@
     /// worth nothing until the last is. Without it, jobs of eight tasks had their last one
     /// placed 130 ms after their first in a burst, twice as long as a task runs.
     pub(super) fn place(&self) -> Place {
-        (self.is_late, !self.was_placed, self.latest(), self.number)
+        (
+            self.is_late,
+            !self.was_placed,
+            self.urgency(),
+            self.latest(),
+            self.number,
+        )
+    }
+
+    fn urgency(&self) -> u32 {
+        if self.number % FAIR == 0 { 0 } else { self.class.priority }
     }
 
     /// Whether a job that has started keeps its rank though its latest start has passed: it
--- a/crates/cassiarock-transient/tests/scheduler/world.rs
+++ b/crates/cassiarock-transient/tests/scheduler/world.rs
@@ -199,6 +199,7 @@
     Arc::new(Class {
         route: "r".into(),
         service: "s".into(),
+        priority: 0,
         attempts: 2,
         slack: 1.6,
         target: ms(60),
