--- a/crates/cassiarock-transient/tests/scheduler/main.rs
+++ b/crates/cassiarock-transient/tests/scheduler/main.rs
@@ -5,4 +5,5 @@
 mod answers;
 mod burst;
 mod losses;
+mod order;
 mod world;
--- a/crates/cassiarock-transient/tests/scheduler/world.rs
+++ b/crates/cassiarock-transient/tests/scheduler/world.rs
@@ -158,7 +158,7 @@
         self.answers.get(&number).map(|(answer, _)| *answer)
     }
 
-    fn take(&mut self, actions: Vec<Action>) {
+    pub fn take(&mut self, actions: Vec<Action>) {
         for action in actions {
             match action {
                 Action::Send(agent, Message::Orders { serial, orders, .. }) => {
