--- a/crates/cassiarock-transient/src/scheduler/admit.rs
+++ b/crates/cassiarock-transient/src/scheduler/admit.rs
@@ -4,7 +4,7 @@
 //! room for. Taking all of it in would make every job late. A job is refused at once if the
 //! work that goes before it would keep it past the time up to which it is useful.
 
-use super::work::Work;
+use super::work::{Phase, Work};
 use super::{Answer, Scheduler, told};
 use crate::{Decision, Demand};
 use std::time::Duration;
@@ -87,8 +87,8 @@
     /// The processor room that waiting tasks want that go before `work`, and their work in
     /// core-milliseconds.
     fn work_before(&self, work: &Work) -> (u64, f64) {
-        let before = self.queue.range(..work.place());
-        let before = before.filter_map(|(.., number)| self.works.get(number));
+        let before = self.queue.range(..work.rank());
+        let before = before.filter_map(|rank| self.works.get(&rank.number));
         before.fold((0, 0.0), |(room, work), next| {
             (room + waiting_cpu(next), work + next.waiting_work())
         })
@@ -99,7 +99,8 @@
     let stages = next.job.stages.iter().zip(&next.tasks);
     stages
         .map(|(stage, tasks)| {
-            let waiting = tasks.iter().filter(|task| task.agent().is_none());
+            let waiting = tasks.iter();
+            let waiting = waiting.filter(|task| matches!(task.phase, Phase::Waiting(_)));
             waiting.count() as u64 * stage.demand.cpu
         })
         .sum()
--- a/crates/cassiarock-transient/src/scheduler/mod.rs
+++ b/crates/cassiarock-transient/src/scheduler/mod.rs
@@ -2,12 +2,16 @@
 
 mod admit;
 mod agent;
+mod expire;
 mod kinds;
+mod lost;
 mod patience;
 mod place;
+mod rank;
 mod rate;
 mod ratio;
 mod settle;
+mod shift;
 mod work;
 
 use crate::message::{Message, Order};
@@ -17,12 +21,13 @@
 use cassiarock_id::{Name, Process};
 use kinds::Kinds;
 use patience::Patience;
+use rank::Rank;
 use rate::Rate;
 use ratio::Ratios;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
-use work::{Place, Work};
+use work::Work;
 
 /// A process that was not run for this long may hold requests whose callers have left and
 /// submitted them elsewhere. It learns of that from its sockets first.
@@ -83,7 +88,7 @@
     agents: BTreeMap<Process, Agent>,
     works: HashMap<u64, Work>,
     /// Jobs with tasks that wait, the one that has to start first at the front.
-    queue: BTreeSet<Place>,
+    queue: BTreeSet<Rank>,
     /// The kinds of upstream known so far.
     kinds: Kinds,
     /// How much work is being placed.
@@ -183,7 +188,7 @@
         match self.admit(&work, now) {
             Ok(told) => {
                 actions.push(Action::Tell(told));
-                self.queue.insert(work.place());
+                self.queue.insert(work.rank());
                 self.works.insert(number, work);
                 self.is_stirred = true;
             }
@@ -332,7 +337,7 @@
 
     fn remove(&mut self, number: u64) -> Option<Work> {
         let work = self.works.remove(&number)?;
-        self.queue.remove(&work.place());
+        self.queue.remove(&work.rank());
         for (agent, _) in work.placed() {
             if let Some(agent) = self.agents.get_mut(&agent) {
                 agent.placed = agent.placed.saturating_sub(1);
--- a/crates/cassiarock-transient/src/scheduler/place.rs
+++ b/crates/cassiarock-transient/src/scheduler/place.rs
@@ -46,7 +46,7 @@
             return;
         }
         let mut orders: BTreeMap<Process, Vec<Order>> = BTreeMap::new();
-        let numbers: Vec<u64> = self.queue.iter().map(|(.., number)| *number).collect();
+        let numbers: Vec<u64> = self.queue.iter().map(|rank| rank.number).collect();
         let mut behind = 0;
         // Whether a job is started of which tasks found no room.
         let mut is_one_open = false;
@@ -62,10 +62,10 @@
                 }
                 continue;
             }
-            self.queue.remove(&work.place());
+            self.queue.remove(&work.rank());
             let all = self.place_work(&mut work, now, &mut orders, actions);
             if work.has_waiting() {
-                self.queue.insert(work.place());
+                self.queue.insert(work.rank());
             }
             is_one_open |= !all && work.was_placed;
             self.works.insert(number, work);
--- a/crates/cassiarock-transient/src/scheduler/work.rs
+++ b/crates/cassiarock-transient/src/scheduler/work.rs
@@ -1,5 +1,6 @@
 //! A job in hand.
 
+use super::rank::Rank;
 use crate::message::Attempt;
 use crate::{Class, Job};
 use cassiarock_id::Process;
@@ -14,15 +15,13 @@
 /// those that started just early enough by the expected time, half were late.
 const MARGIN: f64 = 1.3;
 
-/// One job in this many goes by its latest start alone.
+/// One job in this many goes by its latest start alone: the least urgent queue would get
+/// nothing while the most urgent one fills the system.
 const FAIR: u64 = 8;
 
 /// A late answer is worth one in this many of an answer in time.
 const LATE_WORTH: u32 = 5;
 
-/// A place in the queue.
-pub(super) type Place = (bool, bool, bool, u32, Duration, u64);
-
 /// Where a task stands.
 #[derive(Clone, Debug, PartialEq)]
 pub(super) enum Phase {
@@ -148,28 +147,20 @@
         self.due.saturating_sub(self.chain.mul_f64(MARGIN))
     }
 
-    /// Its place in the queue: jobs that will be late in any case come after all others.
-    ///
-    /// By their latest start alone, the jobs that are late already would go before those that
-    /// can still be on time. Under lasting overload every job then waits until it is late:
-    /// of 300 jobs a second 5 were on time.
-    ///
-    /// A job of which some tasks are placed comes before others: its tasks that are done are
-    /// worth nothing until the last is. Without it, jobs of eight tasks had their last one
-    /// placed 130 ms after their first in a burst, twice as long as a task runs.
-    pub(super) fn place(&self) -> Place {
-        (
-            self.is_late,
-            !self.was_placed,
-            self.has_waited,
-            self.urgency(),
-            self.latest(),
-            self.number,
-        )
+    /// Its rank in the queue.
+    pub(super) fn rank(&self) -> Rank {
+        Rank {
+            is_late: self.is_late,
+            is_unstarted: !self.was_placed,
+            has_waited: self.has_waited,
+            urgency: self.urgency(),
+            latest: self.latest(),
+            number: self.number,
+        }
     }
 
     fn urgency(&self) -> u32 {
-        if self.number % FAIR == 0 {
+        if self.number.is_multiple_of(FAIR) {
             0
         } else {
             self.class.priority
