--- a/crates/cassiarock-transient/src/scheduler/admit.rs
+++ b/crates/cassiarock-transient/src/scheduler/admit.rs
@@ -40,7 +40,7 @@
             return dialling();
         }
         if open.is_empty() {
-            return Err(without(line("refused").with("reason", "no upstream")));
+            return Err(self.without(line("refused").with("reason", "no upstream")));
         }
         let fits = |demand: &Demand| open.iter().any(|agent| demand.fits(&agent.capacity()));
         if let Some(stage) = work.job.stages.iter().find(|stage| !fits(&stage.demand)) {
@@ -53,7 +53,7 @@
             }
             if self.kinds.fit(service, &stage.demand) {
                 let line = line("refused").with("reason", "the upstreams that it fits are away");
-                return Err(without(inputs(line)));
+                return Err(self.without(inputs(line)));
             }
             return Err((Answer::Failed, inputs(line("impossible"))));
         }
@@ -77,8 +77,8 @@
                 .with("free_cpu", room)
                 .with("version", work.class.version)
         };
-        if end > work.due {
-            let answer = refused(AGAIN + wait, true);
+        if end > work.due && self.switch.admission {
+            let answer = self.refused(AGAIN + wait, true);
             return Err((answer, line("refused").with("reason", "queue")));
         }
         Ok(line("admitted"))
@@ -93,6 +93,20 @@
             (room + waiting_cpu(next), work + next.waiting_work())
         })
     }
+
+    /// A refusal for want of any upstream that could run the job.
+    fn without(&self, line: Decision) -> (Answer, Decision) {
+        (self.refused(AGAIN_EMPTY, false), line.failed())
+    }
+
+    /// A refusal. The pause is spread over half as much again.
+    pub(super) fn refused(&self, again: Duration, is_overload: bool) -> Answer {
+        let spread = again.mul_f64(self.chance.below(0.5));
+        Answer::Refused {
+            again: again + spread,
+            is_overload,
+        }
+    }
 }
 
 fn waiting_cpu(next: &Work) -> u64 {
@@ -112,17 +126,3 @@
         .map(|stage| u64::from(stage.tasks) * stage.demand.cpu)
         .sum()
 }
-
-/// A refusal for want of any upstream that could run the job.
-fn without(line: Decision) -> (Answer, Decision) {
-    (refused(AGAIN_EMPTY, false), line.failed())
-}
-
-/// A refusal. The pause is spread over half as much again.
-pub(super) fn refused(again: Duration, is_overload: bool) -> Answer {
-    let spread = again.mul_f64(rand::random_range(0.0..0.5));
-    Answer::Refused {
-        again: again + spread,
-        is_overload,
-    }
-}
--- a/crates/cassiarock-transient/src/scheduler/expire.rs
+++ b/crates/cassiarock-transient/src/scheduler/expire.rs
@@ -4,7 +4,6 @@
 //! refused at once if nothing of it has run, so that its caller hears when to come back and its
 //! room goes to one that can.
 
-use super::admit::refused;
 use super::work::Work;
 use super::{Action, Answer, Scheduler, told};
 use std::time::Duration;
@@ -35,13 +34,16 @@
     /// than room: one that has not run is refused at once if others wait that can still be on
     /// time, and comes after them otherwise.
     pub(super) fn pass_over(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        if !self.switch.expiry {
+            return;
+        }
         let queue = self.queue.iter().take_while(|rank| !rank.is_late);
         let passed: Vec<u64> = queue
             .filter(|rank| rank.latest < now)
             .map(|rank| rank.number)
             .filter(|number| {
                 let work = self.works.get(number);
-                work.is_none_or(|work| !work.is_worth_ending(now))
+                work.is_none_or(|work| !(self.switch.kept_rank && work.is_worth_ending(now)))
             })
             .collect();
         let others = self.queue.len() - passed.len();
@@ -70,7 +72,7 @@
         if let Some(work) = self.remove(number) {
             let line = told("refused", &work, now).with("reason", reason);
             actions.push(Action::Tell(line.with("queue", queue).failed()));
-            actions.push(Action::Answer(number, refused(AGAIN, true)));
+            actions.push(Action::Answer(number, self.refused(AGAIN, true)));
         }
     }
 }
--- a/crates/cassiarock-transient/src/scheduler/mod.rs
+++ b/crates/cassiarock-transient/src/scheduler/mod.rs
@@ -2,6 +2,7 @@
 
 mod admit;
 mod agent;
+mod chance;
 mod expire;
 mod kinds;
 mod lost;
@@ -12,6 +13,7 @@
 mod ratio;
 mod settle;
 mod shift;
+mod switch;
 mod work;
 
 use crate::message::{Message, Order};
@@ -19,6 +21,7 @@
 use crate::{Class, Decision, Job};
 use agent::Agent;
 use cassiarock_id::{Name, Process};
+use chance::Chance;
 use kinds::Kinds;
 use patience::Patience;
 use rank::Rank;
@@ -29,6 +32,8 @@
 use std::time::Duration;
 use work::Work;
 
+pub use switch::Switch;
+
 /// A process that was not run for this long may hold requests whose callers have left and
 /// submitted them elsewhere. It learns of that from its sockets first.
 const FROZEN: Duration = Duration::from_millis(300);
@@ -107,6 +112,9 @@
     median: f64,
     /// The version of the configuration in force.
     version: u64,
+    /// Which mechanisms decide.
+    switch: Switch,
+    chance: Chance,
     /// Whether something has come since the last poll that may allow tasks to be placed.
     is_stirred: bool,
 }
@@ -122,6 +130,21 @@
         Self::default()
     }
 
+    /// The same with these mechanisms only.
+    #[must_use]
+    pub fn with_switch(self, switch: Switch) -> Self {
+        Self { switch, ..self }
+    }
+
+    /// The same with chance from a seed.
+    #[must_use]
+    pub fn with_seed(self, seed: u64) -> Self {
+        Self {
+            chance: Chance::new(seed),
+            ..self
+        }
+    }
+
     /// Jobs without an answer.
     #[must_use]
     pub fn jobs(&self) -> usize {
@@ -181,8 +204,16 @@
         now: Duration,
     ) -> Vec<Action> {
         let ratio = self.ratios.of(&class.route);
-        let has_waited = self.patience.is_spent(&class.route, patience);
+        let has_waited = self.switch.waited_last && self.patience.is_spent(&class.route, patience);
         self.patience.learn(&class.route, patience);
+        let class = if self.switch.priority {
+            class
+        } else {
+            Arc::new(Class {
+                priority: 0,
+                ..Class::clone(&class)
+            })
+        };
         let work = Work::new(number, job, class, patience, ratio, now).with_waited(has_waited);
         let mut actions = Vec::new();
         match self.admit(&work, now) {
--- a/crates/cassiarock-transient/src/scheduler/place.rs
+++ b/crates/cassiarock-transient/src/scheduler/place.rs
@@ -54,7 +54,8 @@
             let Some(mut work) = self.works.remove(&number) else {
                 continue;
             };
-            if is_one_open && !work.was_placed && !self.fits_whole(&work, now) {
+            let is_held = is_one_open && self.switch.whole_starts;
+            if is_held && !work.was_placed && !self.fits_whole(&work, now) {
                 self.works.insert(number, work);
                 behind += 1;
                 if behind > BEHIND {
@@ -214,16 +215,25 @@
             let pace = agent.pace(self.median);
             let expected = work.expected[stage].mul_f64(pace);
             let would_be_late = now + expected > work.due;
-            if pace > SLOW && would_be_late && now < work.latest() + work.chain {
+            if self.switch.moving
+                && pace > SLOW
+                && would_be_late
+                && now < work.latest() + work.chain
+            {
                 return None;
             }
-            let avoided = task.avoid.contains(process);
-            let together = if starts.contains_key(process) {
+            let avoided = self.switch.avoidance && task.avoid.contains(process);
+            let together = if self.switch.together && starts.contains_key(process) {
                 TOGETHER
             } else {
                 0.0
             };
-            Some((avoided, cost(wanted, agent, pace) - together, process))
+            let chance = self.chance.below(CHANCE);
+            Some((
+                avoided,
+                cost(wanted, agent, pace, chance) - together,
+                process,
+            ))
         });
         let best = costs.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
         best.map(|(_, _, process)| process.clone())
@@ -245,7 +255,11 @@
     /// seconds, so an upstream that gets no work for that long is tried anew.
     pub(super) fn judge(&mut self) {
         self.median = self.median_pace();
-        let bound = self.agents.len() / EJECTED;
+        let bound = if self.switch.ejection {
+            self.agents.len() / EJECTED
+        } else {
+            0
+        };
         let mut failing: Vec<(u8, Process)> = self
             .agents
             .iter()
@@ -271,7 +285,7 @@
 }
 
 /// How long a task takes there in terms of the median upstream, and a little for being full.
-fn cost(wanted: &Stage, agent: &Agent, pace: f64) -> f64 {
+fn cost(wanted: &Stage, agent: &Agent, pace: f64, chance: f64) -> f64 {
     let is_near = wanted
         .rack
         .as_ref()
@@ -279,7 +293,6 @@
     let far = if is_near { 1.0 } else { FAR };
     let free = share(agent.free(), &agent.capacity());
     let failing = f64::from(agent.load.failing) / 100.0;
-    let chance = rand::random_range(0.0..CHANCE);
     pace * far * (1.0 + FULL * (1.0 - free) + chance) + failing
 }
 
--- a/crates/cassiarock-transient/src/scheduler/shift.rs
+++ b/crates/cassiarock-transient/src/scheduler/shift.rs
@@ -20,6 +20,9 @@
     /// Moves tasks away from upstreams that keep them too long: the upstream has become slow,
     /// or what was started there stands still while its reports are good.
     pub(super) fn shift(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        if !self.switch.moving {
+            return;
+        }
         let median = self.median;
         let slow: Vec<Process> = self
             .agents
