--- a/crates/cassiarock-transient/src/scheduler/admit.rs
+++ b/crates/cassiarock-transient/src/scheduler/admit.rs
@@ -9,11 +9,6 @@
 use crate::{Decision, Demand};
 use std::time::Duration;
 
-/// The rate to come is the rate at which work was placed of late, or this share
-/// of an even part of the whole system if that is more: at the onset of a burst little has been
-/// placed. With a half, simulated bursts had 0.7 to 1.4 in a hundred callers fewer answered in time.
-const LEAST: f64 = 1.0;
-
 /// The first pause that a refused caller is asked to make, and the most that chance adds to
 /// it: callers that were refused together should not come back together.
 const AGAIN: Duration = Duration::from_secs(1);
@@ -66,7 +61,10 @@
             let capacity: u64 = open.iter().map(|agent| agent.capacity().cpu).sum();
             let entries = open.iter().map(|agent| agent.load.entries).max();
             let share = capacity as f64 / 1000.0 / f64::from(entries.unwrap_or(1).max(1));
-            let rate = self.rate.at(now).max(share * LEAST).max(1.0);
+            // At the onset of a burst little has been placed, so that the rate to come is an
+            // even part of the system at least. With half of it, simulated bursts had 0.7 to
+            // 1.4 in a hundred callers fewer answered in time.
+            let rate = self.rate.at(now).max(share).max(1.0);
             Duration::from_secs_f64(before.1 / rate / 1000.0)
         };
         let end = now + wait + work.chain;
--- a/crates/cassiarock-transient/src/scheduler/place.rs
+++ b/crates/cassiarock-transient/src/scheduler/place.rs
@@ -48,14 +48,16 @@
         let mut orders: BTreeMap<Process, Vec<Order>> = BTreeMap::new();
         let numbers: Vec<u64> = self.queue.iter().map(|rank| rank.number).collect();
         let mut behind = 0;
-        // Whether a job is started of which tasks found no room.
+        // Whether a job is started of which tasks found no room. Others then start whole or not
+        // at all: each would get a task placed here and there, and the last ones too late.
+        // Simulated at 2.5 times the room, 56 in place of 53 in a hundred are in time.
         let mut is_one_open = false;
         for number in numbers {
             let Some(mut work) = self.works.remove(&number) else {
                 continue;
             };
-            let is_held = is_one_open && self.switch.whole_starts;
-            if is_held && !work.was_placed && !self.fits_whole(&work, now) {
+            let has_to_fit = is_one_open && self.switch.whole_starts && !work.was_placed;
+            if has_to_fit && !self.fits_whole(&work, now) {
                 self.works.insert(number, work);
                 behind += 1;
                 if behind > BEHIND {
@@ -88,15 +90,7 @@
             let tasks = work.tasks[stage].iter();
             let waiting = tasks.filter(|task| matches!(task.phase, Phase::Waiting(_)));
             let agents = self.agents.values();
-            let fit = agents.filter(|agent| {
-                agent.is_open(now)
-                    && !agent.is_ejected
-                    && agent.serves(&work.class.service)
-                    && wanted
-                        .label
-                        .as_ref()
-                        .is_none_or(|label| agent.has_label(label))
-            });
+            let fit = agents.filter(|agent| is_eligible(work, wanted, agent, now));
             let most = u64::from(wanted.spread.unwrap_or(u32::MAX));
             let room: u64 = fit
                 .map(|agent| agent.free().holds(&wanted.demand).min(most))
@@ -202,13 +196,7 @@
         // Room first: under load most agents have none, and all are asked for each task.
         let fit = agents.filter(|(process, agent)| {
             wanted.demand.fits(agent.free())
-                && agent.is_open(now)
-                && !agent.is_ejected
-                && agent.serves(&work.class.service)
-                && wanted
-                    .label
-                    .as_ref()
-                    .is_none_or(|label| agent.has_label(label))
+                && is_eligible(work, wanted, agent, now)
                 && has_spread(work, stage, wanted, process)
         });
         let costs = fit.filter_map(|(process, agent)| {
@@ -274,6 +262,15 @@
     }
 }
 
+/// Whether tasks of the stage may be placed there, be there room or not.
+fn is_eligible(work: &Work, wanted: &Stage, agent: &Agent, now: Duration) -> bool {
+    let label = wanted.label.as_ref();
+    agent.is_open(now)
+        && !agent.is_ejected
+        && agent.serves(&work.class.service)
+        && label.is_none_or(|label| agent.has_label(label))
+}
+
 /// Whether the stage may have one more task on the agent.
 fn has_spread(work: &Work, stage: usize, wanted: &Stage, process: &Process) -> bool {
     let Some(most) = wanted.spread else {
--- a/crates/cassiarock-transient/src/scheduler/work.rs
+++ b/crates/cassiarock-transient/src/scheduler/work.rs
@@ -159,6 +159,7 @@
         }
     }
 
+    /// The operators' priority, or the first one for a fair share of all jobs.
     fn urgency(&self) -> u32 {
         if self.number.is_multiple_of(FAIR) {
             0
@@ -168,7 +169,9 @@
     }
 
     /// Whether a job that has started keeps its rank though its latest start has passed: it
-    /// can still be on time, or little of it is left to place.
+    /// can still be on time, or little of it is left to place. Behind all others its last tasks
+    /// found no room: of 1,050 jobs of a burst 75 failed after most of their tasks had run, with
+    /// this 25 (one day, processor time not counted).
     pub(super) fn is_worth_ending(&self, now: Duration) -> bool {
         if !self.was_placed {
             return false;
