--- a/crates/cassiarock-dispatch/src/learned.rs
+++ b/crates/cassiarock-dispatch/src/learned.rs
@@ -11,7 +11,8 @@
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 
-/// All of it is one record, so that none is left of routes that are gone.
+/// All routes are one record, which a new process reads in one call. Routes that the
+/// configuration has dropped stay in it.
 const PART: Part<'static> = Part {
     topic: "keyed.learned",
     part: 0,
