Leave some room to more urgent jobs

Cause: entries share the upstreams and each orders only its own queue, so that freed room goes to whoever hears of it first. Kinds that can wait long found room in the end, the most urgent one was served worst. Hypothesis: trunk reservation needs no knowledge of the others' queues.

--- a/crates/cassiarock-lab/tests/play.rs
+++ b/crates/cassiarock-lab/tests/play.rs
@@ -22,6 +22,7 @@
     hanging = { "hanging.jsonc", 0.95 },
     wide = { "wide.jsonc", 0.93 },
     small = { "small.jsonc", 0.86 },
+    large = { "large.jsonc", 0.92 },
     far_too_much = { "twice-and-a-half.jsonc", 0.48 },
 )]
 fn no_promise_is_broken_and_most_callers_are_answered_in_time(name: &str, least: f64) {
@@ -63,6 +64,29 @@
     assert!(without < with, "{without}");
 }
 
+// In the bursts of a large fleet look-ups with eight tasks, which the operators had put first,
+// fared worst: of them 0.90 were answered in time, of the least urgent kind 0.97, as freed room
+// went to whoever heard of it first. With some room left to them it is 0.94 and 0.90, and of all
+// callers 0.018 are answered in place of 0.034 who were not.
+#[test]
+fn in_bursts_of_a_large_fleet_the_most_urgent_kind_is_not_the_worst_served() {
+    let mut scenario = scenario("large.jsonc");
+    scenario.seeds.truncate(1);
+    let with = play(&scenario, Switch::default());
+    let without = play(&scenario, Switch::without("reserve").unwrap());
+    let shares = |figures: &cassiarock_lab::Figures| -> Vec<f64> {
+        let kinds = figures.kinds();
+        kinds.iter().map(cassiarock_lab::Kind::share).collect()
+    };
+    let (kept, lost) = (shares(&with), shares(&without));
+    assert!(kept[0] > kept[1], "{kept:?}");
+    assert!(kept[0] > lost[0] + 0.02, "{kept:?} {lost:?}");
+    assert!(
+        with.in_time > without.in_time + 0.01,
+        "{with:?} {without:?}"
+    );
+}
+
 // All VMs lost power. Callers whose connections had broken came back with those of the next
 // second, and took the room from the ones who could still be on time.
 #[test]
--- a/crates/cassiarock-transient/src/scheduler/expire.rs
+++ b/crates/cassiarock-transient/src/scheduler/expire.rs
@@ -70,6 +70,7 @@
     ) {
         let queue = self.queue.len();
         if let Some(work) = self.remove(number) {
+            self.reserve.learn(work.class.priority, false);
             let line = told("refused", &work, now).with("reason", reason);
             actions.push(Action::Tell(line.with("queue", queue).failed()));
             actions.push(Action::Answer(number, self.refused(AGAIN, true)));
--- a/crates/cassiarock-transient/src/scheduler/mod.rs
+++ b/crates/cassiarock-transient/src/scheduler/mod.rs
@@ -11,6 +11,7 @@
 mod rank;
 mod rate;
 mod ratio;
+mod reserve;
 mod settle;
 mod shift;
 mod switch;
@@ -27,6 +28,7 @@
 use rank::Rank;
 use rate::Rate;
 use ratio::Ratios;
+use reserve::Reserve;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
@@ -102,6 +104,8 @@
     ratios: Ratios,
     /// How long callers usually wait.
     patience: Patience,
+    /// How jobs of each priority fare.
+    reserve: Reserve,
     /// When it was last polled: a gap shows a freeze.
     polled: Duration,
     /// Until when nothing is placed after a freeze.
@@ -214,6 +218,7 @@
                 ..Class::clone(&class)
             })
         };
+        self.reserve.arrive(class.priority, now);
         let work = Work::new(number, job, class, patience, ratio, now).with_waited(has_waited);
         let mut actions = Vec::new();
         match self.admit(&work, now) {
@@ -224,6 +229,9 @@
                 self.is_stirred = true;
             }
             Err((answer, told)) => {
+                if matches!(answer, Answer::Refused { is_overload, .. } if is_overload) {
+                    self.reserve.learn(work.class.priority, false);
+                }
                 actions.push(Action::Tell(told));
                 actions.push(Action::Answer(number, answer));
             }
--- a/crates/cassiarock-transient/src/scheduler/place.rs
+++ b/crates/cassiarock-transient/src/scheduler/place.rs
@@ -57,7 +57,8 @@
                 continue;
             };
             let has_to_fit = is_one_open && self.switch.whole_starts && !work.was_placed;
-            if has_to_fit && !self.fits_whole(&work, now) {
+            let is_held_back = !work.was_placed && !self.leaves_room(&work, now);
+            if is_held_back || has_to_fit && !self.fits_whole(&work, now) {
                 self.works.insert(number, work);
                 behind += 1;
                 if behind > BEHIND {
@@ -82,6 +83,23 @@
         self.send_orders(orders, now, actions);
     }
 
+    /// Whether enough room is free for a job of this urgency to start. Counted in whole tasks
+    /// of its own, so that a system of a few tasks keeps none of them empty.
+    fn leaves_room(&self, work: &Work, now: Duration) -> bool {
+        let reserved = self.reserve.share(work.urgency(), now);
+        if reserved == 0.0 || !self.switch.reserve {
+            return true;
+        }
+        let agents = self.agents.values();
+        let open = agents.filter(|agent| agent.is_open(now) && agent.serves(&work.class.service));
+        let (free, all) = open.fold((0, 0), |(free, all), agent| {
+            (free + agent.free().cpu, all + agent.capacity().cpu)
+        });
+        let kept = (reserved * all as f64) as u64;
+        let mut demands = work.job.stages.iter().map(|stage| stage.demand.cpu.max(1));
+        demands.all(|demand| free / demand >= kept / demand)
+    }
+
     /// Whether there is room now for all tasks of the job that can start.
     fn fits_whole(&self, work: &Work, now: Duration) -> bool {
         let stages = work.job.stages.iter().enumerate();
--- a/crates/cassiarock-transient/src/scheduler/settle.rs
+++ b/crates/cassiarock-transient/src/scheduler/settle.rs
@@ -88,6 +88,7 @@
 
     fn complete(&mut self, number: u64, now: Duration, actions: &mut Vec<Action>) {
         if let Some(work) = self.remove(number) {
+            self.reserve.learn(work.class.priority, now <= work.due);
             let line = told("completed", &work, now)
                 .with("on_time", now <= work.due)
                 .with("retries", work.retries);
@@ -111,6 +112,9 @@
         let Some(work) = self.remove(number) else {
             return;
         };
+        if answer == Answer::GivenUp {
+            self.reserve.learn(work.class.priority, false);
+        }
         let line = told("failed", &work, now).with("reason", reason);
         let line = line
             .with("retries", work.retries)
--- a/crates/cassiarock-transient/src/scheduler/switch.rs
+++ b/crates/cassiarock-transient/src/scheduler/switch.rs
@@ -13,6 +13,8 @@
     pub kept_rank: bool,
     /// The operators' priority.
     pub priority: bool,
+    /// Leaving room to more urgent jobs.
+    pub reserve: bool,
     /// Placing callers who have waited before after others.
     pub waited_last: bool,
     /// Keeping out upstreams that fail.
@@ -28,12 +30,13 @@
 /// The name of a mechanism and the field that it is.
 type Field = (&'static str, fn(&mut Switch) -> &mut bool);
 
-const FIELDS: [Field; 10] = [
+const FIELDS: [Field; 11] = [
     ("admission", |switch| &mut switch.admission),
     ("expiry", |switch| &mut switch.expiry),
     ("whole_starts", |switch| &mut switch.whole_starts),
     ("kept_rank", |switch| &mut switch.kept_rank),
     ("priority", |switch| &mut switch.priority),
+    ("reserve", |switch| &mut switch.reserve),
     ("waited_last", |switch| &mut switch.waited_last),
     ("ejection", |switch| &mut switch.ejection),
     ("moving", |switch| &mut switch.moving),
@@ -49,6 +52,7 @@
             whole_starts: true,
             kept_rank: true,
             priority: true,
+            reserve: true,
             waited_last: true,
             ejection: true,
             moving: true,
--- a/crates/cassiarock-transient/src/scheduler/work.rs
+++ b/crates/cassiarock-transient/src/scheduler/work.rs
@@ -160,7 +160,7 @@
     }
 
     /// The operators' priority, or the first one for a fair share of all jobs.
-    fn urgency(&self) -> u32 {
+    pub(super) fn urgency(&self) -> u32 {
         if self.number.is_multiple_of(FAIR) {
             0
         } else {
--- a/crates/cassiarock-transient/tests/scheduler/main.rs
+++ b/crates/cassiarock-transient/tests/scheduler/main.rs
@@ -6,4 +6,5 @@
 mod burst;
 mod losses;
 mod order;
+mod reserve;
 mod world;
--- a/crates/cassiarock-transient/tests/scheduler/order.rs
+++ b/crates/cassiarock-transient/tests/scheduler/order.rs
@@ -1,30 +1,14 @@
 //! Which jobs go first when there is too little room.
 
-use crate::world::{Placed, World, class, job, ms};
+use crate::world::{Placed, World, job, ms};
+use cassiarock_transient::Demand;
 use cassiarock_transient::message::End;
 use cassiarock_transient::scheduler::Answer;
-use cassiarock_transient::{Class, Demand};
-use std::sync::Arc;
 
 fn numbers(placed: &[Placed]) -> Vec<u64> {
     placed.iter().map(|task| task.attempt.number).collect()
 }
 
-/// Submits a job of a queue with this priority.
-fn submit(world: &mut World, number: u64, tasks: u32, priority: u32) {
-    let class = Class {
-        priority,
-        route: format!("r-{priority}").into(),
-        ..Class::clone(&class())
-    };
-    let job = job(number, tasks, 400);
-    let actions = world
-        .scheduler
-        .submit(number, job, Arc::new(class), ms(3_000), world.now);
-    world.take(actions);
-    world.poll();
-}
-
 /// One upstream with room for ten tasks, all of it taken by ten jobs of one task.
 fn full() -> (World, Vec<Placed>) {
     let mut world = World::new(1);
@@ -96,9 +80,9 @@
 #[test]
 fn the_more_urgent_queue_goes_first_though_its_job_came_later() {
     let (mut world, running) = full();
-    submit(&mut world, 1, 1, 2);
-    submit(&mut world, 2, 1, 0);
-    submit(&mut world, 3, 1, 1);
+    world.submit_of(1, 1, 2);
+    world.submit_of(2, 1, 0);
+    world.submit_of(3, 1, 1);
     for task in &running[..3] {
         world.end(task.attempt, End::Done);
     }
@@ -110,8 +94,8 @@
 #[test]
 fn the_least_urgent_queue_gets_an_eighth_of_its_jobs_past_the_more_urgent() {
     let (mut world, running) = full();
-    submit(&mut world, 8, 1, 2);
-    submit(&mut world, 9, 1, 0);
+    world.submit_of(8, 1, 2);
+    world.submit_of(9, 1, 0);
     world.end(running[0].attempt, End::Done);
     assert_eq!(numbers(&world.placed[9..]), [8]);
 }
--- a/crates/cassiarock-transient/tests/scheduler/world.rs
+++ b/crates/cassiarock-transient/tests/scheduler/world.rs
@@ -114,6 +114,22 @@
         self.submit_job(number, job(number, tasks, estimate), patience);
     }
 
+    /// Submits a job of a queue with this priority, of tasks of 400 ms.
+    pub fn submit_of(&mut self, number: u64, tasks: u32, priority: u32) {
+        let class = Class {
+            priority,
+            route: format!("r-{priority}").into(),
+            ..Class::clone(&class())
+        };
+        let job = job(number, tasks, 400);
+        let class = Arc::new(class);
+        let actions = self
+            .scheduler
+            .submit(number, job, class, ms(3_000), self.now);
+        self.take(actions);
+        self.poll();
+    }
+
     pub fn submit_job(&mut self, number: u64, job: Job, patience: u64) {
         let actions = self
             .scheduler
