--- a/crates/cassiarock-transient/src/scheduler/expire.rs
+++ b/crates/cassiarock-transient/src/scheduler/expire.rs
@@ -71,7 +71,10 @@
         let queue = self.queue.len();
         if let Some(work) = self.remove(number) {
             self.reserve.learn(work.class.priority, false);
-            let line = told("refused", &work, now).with("reason", reason);
+            let kept_free = self.reserve.share(work.urgency(), now) * 100.0;
+            let line = told("refused", &work, now)
+                .with("reason", reason)
+                .with("kept_free_percent", kept_free.round());
             actions.push(Action::Tell(line.with("queue", queue).failed()));
             actions.push(Action::Answer(number, self.refused(AGAIN, true)));
         }
--- a/crates/cassiarock-transient/src/scheduler/mod.rs
+++ b/crates/cassiarock-transient/src/scheduler/mod.rs
@@ -1,8 +1,11 @@
 //! The entry's side: which jobs are taken, in which order their tasks are placed, and where.
 
+mod action;
 mod admit;
 mod agent;
 mod chance;
+mod choose;
+mod eject;
 mod expire;
 mod kinds;
 mod lost;
@@ -34,6 +37,7 @@
 use std::time::Duration;
 use work::Work;
 
+pub use action::{Action, Answer, Stage};
 pub use switch::Switch;
 
 /// A process that was not run for this long may hold requests whose callers have left and
@@ -47,48 +51,6 @@
 /// time, slow upstreams. Each costs a pass over all jobs and agents.
 const CHECK: Duration = Duration::from_millis(20);
 
-/// What a caller is answered.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Answer {
-    /// All tasks are done.
-    Completed,
-    /// The job has failed: one of its tasks did, as often as it may.
-    Failed,
-    /// The job was given up; tasks of it may have run.
-    GivenUp,
-    /// The caller has cancelled it.
-    Cancelled,
-    /// The job was not run, and nothing of it will be.
-    Refused {
-        /// When the caller should come back.
-        again: Duration,
-        /// Whether the system has too much to do, rather than no upstream at all.
-        is_overload: bool,
-    },
-}
-
-/// What the shell is to do.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Action {
-    /// Send a message to an agent.
-    Send(Process, Message),
-    /// Answer the caller of the job with this number.
-    Answer(u64, Answer),
-    /// A line for the log.
-    Tell(Decision),
-    /// How long a stage of a job of this route took.
-    Measure(Stage, Name, Duration),
-}
-
-/// A stage of a job's way, for metrics.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Stage {
-    /// From its arrival until its first tasks were placed.
-    Queue,
-    /// From its arrival until it was completed.
-    Answer,
-}
-
 /// The jobs and agents of one entry.
 #[derive(Debug, Default)]
 pub struct Scheduler {
--- a/crates/cassiarock-transient/src/scheduler/place.rs
+++ b/crates/cassiarock-transient/src/scheduler/place.rs
@@ -1,10 +1,9 @@
 //! Where tasks are placed.
 
-use super::agent::Agent;
+use super::choose::is_eligible;
 use super::work::{Phase, Work, core_millis};
 use super::{Action, Scheduler, told};
 use crate::message::{Order, Start};
-use crate::{Demand, Stage};
 use cassiarock_id::Process;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -13,32 +12,6 @@
 /// task further back may fit where a large one does not.
 const BEHIND: usize = 16;
 
-/// An upstream with this share of failed tasks, in hundredths, is kept out: a sound one fails
-/// one in five hundred.
-const FAILING: u8 = 40;
-
-/// An upstream whose tasks run this much longer than at the median one is kept out for tasks
-/// that would be late there, and overdue tasks are moved away from it. The kinds of upstream
-/// differ by less.
-pub(super) const SLOW: f64 = 1.8;
-
-/// At most one upstream in three is kept out: more would lose more room than faults do.
-const EJECTED: usize = 3;
-
-/// What running away from the data's rack costs at the users' sites.
-const FAR: f64 = 1.5;
-
-/// How much a full upstream counts as slower than an empty one: leaves room on each, so
-/// that entries that place at the same time seldom meet.
-const FULL: f64 = 0.3;
-
-/// What an agent that already gets tasks of the job in this round is preferred by: each
-/// further agent costs a message and the job's text once more.
-const TOGETHER: f64 = 0.15;
-
-/// The spread by chance among equals, for the same reason.
-const CHANCE: f64 = 0.1;
-
 impl Scheduler {
     /// Places waiting tasks, the jobs that have to start first before others.
     pub(super) fn place(&mut self, now: Duration, actions: &mut Vec<Action>) {
@@ -198,119 +171,4 @@
             .with("asked", asked)
             .with("places", places.join(","))
     }
-
-    /// The best agent for a task: the one where it should end first.
-    fn choose(
-        &self,
-        work: &Work,
-        stage: usize,
-        index: usize,
-        starts: &BTreeMap<Process, Vec<Start>>,
-        now: Duration,
-    ) -> Option<Process> {
-        let wanted = &work.job.stages[stage];
-        let task = &work.tasks[stage][index];
-        let agents = self.agents.iter();
-        // Room first: under load most agents have none, and all are asked for each task.
-        let fit = agents.filter(|(process, agent)| {
-            wanted.demand.fits(agent.free())
-                && is_eligible(work, wanted, agent, now)
-                && has_spread(work, stage, wanted, process)
-        });
-        let costs = fit.filter_map(|(process, agent)| {
-            let pace = agent.pace(self.median);
-            let expected = work.expected[stage].mul_f64(pace);
-            let would_be_late = now + expected > work.due;
-            if self.switch.moving
-                && pace > SLOW
-                && would_be_late
-                && now < work.latest() + work.chain
-            {
-                return None;
-            }
-            let avoided = self.switch.avoidance && task.avoid.contains(process);
-            let together = if self.switch.together && starts.contains_key(process) {
-                TOGETHER
-            } else {
-                0.0
-            };
-            let chance = self.chance.below(CHANCE);
-            Some((
-                avoided,
-                cost(wanted, agent, pace, chance) - together,
-                process,
-            ))
-        });
-        let best = costs.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
-        best.map(|(_, _, process)| process.clone())
-    }
-
-    /// The median pace of the upstreams; 1 hundredth at least.
-    fn median_pace(&self) -> f64 {
-        let mut paces: Vec<u16> = self
-            .agents
-            .values()
-            .filter(|agent| agent.is_linked && agent.load.pace > 0)
-            .map(|agent| agent.load.pace)
-            .collect();
-        paces.sort_unstable();
-        f64::from(paces.get(paces.len() / 2).copied().unwrap_or(100).max(1))
-    }
-
-    /// Keeps out the upstreams that fail most, up to a bound. An agent forgets ends after three
-    /// seconds, so an upstream that gets no work for that long is tried anew.
-    pub(super) fn judge(&mut self) {
-        self.median = self.median_pace();
-        let bound = if self.switch.ejection {
-            self.agents.len() / EJECTED
-        } else {
-            0
-        };
-        let mut failing: Vec<(u8, Process)> = self
-            .agents
-            .iter()
-            .filter(|(_, agent)| agent.load.failing >= FAILING)
-            .map(|(process, agent)| (agent.load.failing, process.clone()))
-            .collect();
-        failing.sort_by(|a, b| b.cmp(a));
-        failing.truncate(bound);
-        for (process, agent) in &mut self.agents {
-            agent.is_ejected = failing.iter().any(|(_, other)| other == process);
-        }
-    }
-}
-
-/// Whether tasks of the stage may be placed there, be there room or not.
-fn is_eligible(work: &Work, wanted: &Stage, agent: &Agent, now: Duration) -> bool {
-    let label = wanted.label.as_ref();
-    agent.is_open(now)
-        && !agent.is_ejected
-        && agent.serves(&work.class.service)
-        && label.is_none_or(|label| agent.has_label(label))
-}
-
-/// Whether the stage may have one more task on the agent.
-fn has_spread(work: &Work, stage: usize, wanted: &Stage, process: &Process) -> bool {
-    let Some(most) = wanted.spread else {
-        return true;
-    };
-    let tasks = work.tasks[stage].iter();
-    let there = tasks.filter(|task| task.agent() == Some(process));
-    there.count() < most as usize
-}
-
-/// How long a task takes there in terms of the median upstream, and a little for being full.
-fn cost(wanted: &Stage, agent: &Agent, pace: f64, chance: f64) -> f64 {
-    let is_near = wanted
-        .rack
-        .as_ref()
-        .is_none_or(|rack| agent.has_label(rack));
-    let far = if is_near { 1.0 } else { FAR };
-    let free = share(agent.free(), &agent.capacity());
-    let failing = f64::from(agent.load.failing) / 100.0;
-    pace * far * (1.0 + FULL * (1.0 - free) + chance) + failing
-}
-
-fn share(free: &Demand, capacity: &Demand) -> f64 {
-    free.cpu as f64 / capacity.cpu.max(1) as f64
 }
--- a/crates/cassiarock-transient/src/scheduler/shift.rs
+++ b/crates/cassiarock-transient/src/scheduler/shift.rs
@@ -1,6 +1,6 @@
 //! Tasks that are moved away from upstreams that keep them too long.
 
-use super::place::SLOW;
+use super::choose::SLOW;
 use super::work::Phase;
 use super::{Action, Scheduler, told};
 use crate::message::{Attempt, Message};
