Test that an entry without the store takes one packed copy of a large configuration

Two real entries, 1,700 queues, the second one turned away by the store: the first sends it less than half of a plain copy. Not run against the former code, which has no packed copies.

--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 mod bad_input;
+mod configuration;
 mod directory;
 mod explain;
 mod failures;
--- a/tests/platform/site.rs
+++ b/tests/platform/site.rs
@@ -7,6 +7,7 @@
 use serde_json::{Value, json};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
+use std::str::FromStr;
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 use tokio::sync::{Semaphore, SemaphorePermit};
@@ -112,6 +113,15 @@
 
     /// The same without waiting for links.
     pub async fn start_unlinked(entries: usize, agents: usize) -> Self {
+        Self::start_seeded(entries, agents, false).await
+    }
+
+    /// Starts so many entries that link to one another, and no agents.
+    pub async fn start_entries(entries: usize) -> Self {
+        Self::start_seeded(entries, 0, true).await
+    }
+
+    async fn start_seeded(entries: usize, agents: usize, are_entries_linked: bool) -> Self {
         let room = ROOM.acquire().await.unwrap();
         let ports = Ports::new();
         let store = Stand::start().await.unwrap();
@@ -129,7 +139,8 @@
         let seeds: Vec<String> = (0..entries).map(|n| ports.ip(1, n).to_string()).collect();
         for number in 0..entries {
             let door = site.store.door().await.unwrap();
-            site.entries.push(Entry::start(number, ports, door));
+            let seeds: &[String] = if are_entries_linked { &seeds } else { &[] };
+            site.entries.push(Entry::start(number, ports, door, seeds));
         }
         for number in 0..agents {
             // Agents find entries by their seeds alone, that is through the proxies.
@@ -150,32 +161,47 @@
 
     /// Publishes a configuration with one queue.
     pub fn configure(&mut self) {
+        self.configure_queues(1);
+    }
+
+    /// Publishes a configuration with so many queues. Gives its version.
+    pub fn configure_queues(&mut self, queues: usize) -> u64 {
         self.version += 1;
+        let queue = |number| {
+            let path = if number == 0 {
+                "/q/".into()
+            } else {
+                format!("/q-{number}/")
+            };
+            json!({
+                "name": format!("r-{number}"), "host": "queue.example", "pathPrefix": path,
+                "kind": "unsafe", "timeoutMs": 1500, "targetLatencyMs": 60, "priority": 0,
+                "service": "tasks", "attempts": 3, "slackFactor": 1.6,
+            })
+        };
         let config = json!({
             "version": self.version,
-            "routes": [{
-                "name": "r-1", "host": "queue.example", "pathPrefix": "/q/", "kind": "unsafe",
-                "timeoutMs": 1500, "targetLatencyMs": 60, "priority": 0, "service": "tasks",
-                "attempts": 3, "slackFactor": 1.6,
-            }],
+            "routes": (0..queues).map(queue).collect::<Vec<_>>(),
             "services": [{ "name": "tasks", "enforceCapacity": true }],
             "limits": { "maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000 },
         });
         let record = [&[6][..], b"config", config.to_string().as_bytes()].concat();
         self.store.put("keyed.op", record);
+        self.version
     }
 }
 
 impl Entry {
-    fn start(number: usize, ports: Ports, door: Door) -> Self {
+    fn start(number: usize, ports: Ports, door: Door, seeds: &[String]) -> Self {
         let ip = ports.ip(1, number);
         let name = format!("entry-{number}");
         let listen = SocketAddr::from((ip, ports.links()));
         let behind = SocketAddr::from((ip, ports.behind()));
         let proxy = Proxy::at(listen).unwrap().with_target(behind);
+        let seeds = quoted(seeds);
         let settings = format!(
             "nodeName = \"{name}\"\nzone = \"dc-1\"\nip = \"{ip}\"\ninternalPorts = [{}, {}]\n\
-             seeds = []\n[listen]\nfrontendAddress = \"{ip}:{}\"\nreadinessAddress = \"{ip}:{}\"\n\
+             seeds = [{seeds}]\n[listen]\nfrontendAddress = \"{ip}:{}\"\nreadinessAddress = \"{ip}:{}\"\n\
              [bounds]\ngraceS = 6\n[platform]\naddress = \"{}\"\n",
             ports.behind(),
             ports.behind() + 9,
@@ -238,11 +264,16 @@
 
     /// How many agents can be given tasks, by its metrics.
     pub async fn open(&self) -> Option<usize> {
+        self.metric("cassiarock_agents_open").await
+    }
+
+    /// The value of a metric, by its name with its labels.
+    pub async fn metric<T: FromStr>(&self, name: &str) -> Option<T> {
         let answer = reqwest::get(self.metrics()).await.ok()?;
         let text = answer.text().await.ok()?;
         let mut lines = text.lines();
-        let open = lines.find_map(|line| line.strip_prefix("cassiarock_agents_open "))?;
-        open.parse().ok()
+        let value = lines.find_map(|line| line.strip_prefix(name)?.strip_prefix(' '))?;
+        value.parse().ok()
     }
 }
 
@@ -253,8 +284,7 @@
         let reports = SocketAddr::from((ip, ports.reports()));
         let upstream = Upstream::new(&format!("u-{number}-0"), (ip, 0), reports, witness);
         let upstream = upstream.unwrap();
-        let seeds = seeds.iter().map(|ip| format!("\"{ip}:1\""));
-        let seeds = seeds.collect::<Vec<_>>().join(",");
+        let seeds = quoted(seeds);
         let settings = format!(
             "nodeName = \"{name}\"\nzone = \"dc-1\"\nip = \"{ip}\"\ninternalPorts = [{}, {}]\n\
              seeds = [{seeds}]\napp = \"{}\"\n[listen]\ncontrol = \"{reports}\"\n\
@@ -324,6 +354,12 @@
     }
 }
 
+/// The machines at these addresses, as seeds in a settings file.
+fn quoted(seeds: &[String]) -> String {
+    let seeds = seeds.iter().map(|ip| format!("\"{ip}:1\""));
+    seeds.collect::<Vec<_>>().join(",")
+}
+
 fn write(name: &str, ports: Ports, settings: &str) -> File {
     let id = std::process::id();
     let file = std::env::temp_dir().join(format!("cassiarock-{id}-{}-{name}.toml", ports.0));
