--- a/tests/platform/configuration.rs
+++ b/tests/platform/configuration.rs
@@ -31,7 +31,10 @@
     for entry in &site.entries {
         has_version(entry, 1, IN_FORCE * 5).await;
     }
+    site.entries[1].process.kill();
     site.entries[1].door.with_fault(|fault| fault.down = true);
+    site.entries[1].restart();
+    has_version(&site.entries[1], 1, IN_FORCE * 5).await;
     let before = sent_bytes(&site.entries[0]).await;
     let version = site.configure_queues(1_700);
     has_version(&site.entries[0], version, IN_FORCE).await;
