--- a/crates/cassiarock-dispatch/src/packed.rs
+++ b/crates/cassiarock-dispatch/src/packed.rs
@@ -9,7 +9,8 @@
 /// What is longer is no configuration, and must not take an entry's memory.
 const LONGEST: u64 = 16 << 20;
 
-/// Packs the text of a configuration. Routes are much alike: 250 KB become some 30.
+/// Packs the text of a configuration. Routes are much alike: 1,700 with names drawn by chance,
+/// 326 KB, become 43.
 pub(crate) fn pack(text: &str) -> io::Result<Vec<u8>> {
     let mut packed = Vec::new();
     DeflateEncoder::new(text.as_bytes(), Compression::fast()).read_to_end(&mut packed)?;
--- a/crates/cassiarock-transient/src/lag.rs
+++ b/crates/cassiarock-transient/src/lag.rs
@@ -15,8 +15,8 @@
 /// for a change to be in force, most is left.
 const STORE: Duration = Duration::from_millis(300);
 
-/// How long an asked entry has for the whole copy, some 30 KB packed: a fifth of a second on a
-/// link of 2 Mbit/s that carries jobs as well, and several entries may ask at once.
+/// How long an asked entry has for the whole copy, some 40 KB packed: a sixth of a second of a
+/// link of 2 Mbit/s, which carries jobs as well, and several entries may ask at once.
 const COPY: Duration = Duration::from_secs(1);
 
 /// How far an entry is behind the others, and whom it has asked.
