Bound how long an entry trusts the store to finish what it sends

Found in reading: an entry whose read went silent in the middle of an answer asked no other entry until the read was given up, up to 23 s later, as the wait for a record counted for each piece.

--- a/crates/cassiarock-transient/src/lag.rs
+++ b/crates/cassiarock-transient/src/lag.rs
@@ -15,6 +15,11 @@
 /// for a change to be in force, most is left.
 const STORE: Duration = Duration::from_millis(300);
 
+/// How long the store has for what it is sending: 250 KB take a second of a link of 2 Mbit/s.
+/// Connections go silent in the middle of an answer, and that is not known for longer than
+/// operators allow.
+const SENDING: Duration = Duration::from_secs(1);
+
 /// How long an asked entry has for the whole copy, some 40 KB packed: a sixth of a second of a
 /// link of 2 Mbit/s, which carries jobs as well, and several entries may ask at once.
 const COPY: Duration = Duration::from_secs(1);
@@ -45,12 +50,13 @@
         Self::default()
     }
 
-    /// Another entry has a newer version. Answers whether to ask it for a copy now; not while
-    /// the store `is_sending` one.
+    /// Another entry has a newer version. Answers whether to ask it for a copy now; not at once
+    /// while the store `is_sending` one.
     pub fn is_to_ask(&mut self, other: &Process, is_sending: bool, now: Duration) -> bool {
         let since = *self.since.get_or_insert(now);
         let is_asked = self.asked.as_ref().is_some_and(|(_, at)| now < *at + COPY);
-        let is_due = now >= since + STORE && !is_sending && !is_asked;
+        let patience = if is_sending { SENDING } else { STORE };
+        let is_due = now >= since + patience && !is_asked;
         if is_due {
             self.asked = Some((other.clone(), now));
         }
