Hand an agent's messages to its host in one place; count jobs without room once

Moves of logic that stood twice, no decision changes: the daemon and the lab now share Host::message, and placing counts what found no room in one place. What is learned of callers is never written empty, which would delete the record.

--- a/crates/cassiarock-dispatch/src/agent.rs
+++ b/crates/cassiarock-dispatch/src/agent.rs
@@ -167,21 +167,7 @@
     }
 
     fn message(&mut self, peer: &Hello, message: Message, now: Duration) -> Vec<Action> {
-        let entry = &peer.process;
         match message {
-            Message::Orders {
-                serial,
-                echo,
-                orders,
-            } => {
-                let echo = Duration::from_millis(echo);
-                self.host.order(entry, serial, echo, orders, now)
-            }
-            Message::Halt(attempts) => self.host.halt(entry, &attempts, now),
-            Message::EntryBeat { echo, .. } => {
-                self.host.heard(entry, Duration::from_millis(echo));
-                Vec::new()
-            }
             Message::Entries(entries) => {
                 let addresses = entries.iter().filter_map(|entry| entry.parse().ok());
                 for address in addresses {
@@ -189,7 +175,7 @@
                 }
                 Vec::new()
             }
-            _ => Vec::new(),
+            message => self.host.message(&peer.process, message, now),
         }
     }
 
--- a/crates/cassiarock-dispatch/src/learned.rs
+++ b/crates/cassiarock-dispatch/src/learned.rs
@@ -59,7 +59,14 @@
         log::debug!(routes = known.len(); "what callers usually wait has been read");
         return Ok(());
     }
-    let value = serde_json::to_vec(&learned).unwrap_or_default();
+    let value = match serde_json::to_vec(&learned) {
+        Ok(value) => value,
+        // An empty value would delete the record.
+        Err(error) => {
+            log::warn!("what callers usually wait was not put on record: {error}");
+            return Ok(());
+        }
+    };
     store.append(PART, &keyed(KEY, &value), None).await?;
     log::info!(before:? = known, now:? = learned; "what callers usually wait is on record");
     Ok(())
--- a/crates/cassiarock-lab/src/simulation/agents.rs
+++ b/crates/cassiarock-lab/src/simulation/agents.rs
@@ -5,9 +5,9 @@
 use crate::scenario::{Group, What};
 use crate::upstream::{Run, Upstream, millis};
 use cassiarock_id::{Name, Process};
+use cassiarock_transient::Host;
 use cassiarock_transient::host::{Action, Answer, Task, Worker};
 use cassiarock_transient::message::End;
-use cassiarock_transient::{Host, Message};
 use rand::RngExt;
 use std::time::Duration;
 
@@ -133,23 +133,7 @@
         if !agent.is_up || agent.process != frame.to {
             return;
         }
-        let entry = &frame.from;
-        let actions = match frame.message {
-            Message::Orders {
-                serial,
-                echo,
-                orders,
-            } => {
-                let echo = Duration::from_millis(echo);
-                agent.host.order(entry, serial, echo, orders, self.now)
-            }
-            Message::Halt(attempts) => agent.host.halt(entry, &attempts, self.now),
-            Message::EntryBeat { echo, .. } => {
-                agent.host.heard(entry, Duration::from_millis(echo));
-                Vec::new()
-            }
-            _ => Vec::new(),
-        };
+        let actions = agent.host.message(&frame.from, frame.message, self.now);
         self.carry_out_agent(number, actions);
     }
 
--- a/crates/cassiarock-transient/src/host/entries.rs
+++ b/crates/cassiarock-transient/src/host/entries.rs
@@ -31,6 +31,23 @@
         actions
     }
 
+    /// A message of an entry; those that are not for an agent's host are left out.
+    pub fn message(&mut self, entry: &Process, message: Message, now: Duration) -> Vec<Action> {
+        match message {
+            Message::Orders {
+                serial,
+                echo,
+                orders,
+            } => self.order(entry, serial, Duration::from_millis(echo), orders, now),
+            Message::Halt(attempts) => self.halt(entry, &attempts, now),
+            Message::EntryBeat { echo, .. } => {
+                self.heard(entry, Duration::from_millis(echo));
+                Vec::new()
+            }
+            _ => Vec::new(),
+        }
+    }
+
     /// The link to `entry` is gone. Its attempts go on for a while: it may come back.
     pub fn unlink(&mut self, entry: &Process) {
         if let Some(owner) = self.owners.get_mut(entry) {
--- a/crates/cassiarock-transient/src/scheduler/place.rs
+++ b/crates/cassiarock-transient/src/scheduler/place.rs
@@ -29,22 +29,15 @@
             let Some(mut work) = self.works.remove(&number) else {
                 continue;
             };
-            let has_to_fit = is_one_open && self.switch.whole_starts && !work.was_placed;
-            let is_held_back = !work.was_placed && !self.leaves_room(&work, now);
-            if is_held_back || has_to_fit && !self.fits_whole(&work, now) {
-                self.works.insert(number, work);
-                behind += 1;
-                if behind > BEHIND {
-                    break;
+            let mut all = false;
+            if work.was_placed || self.may_start(&work, is_one_open, now) {
+                self.queue.remove(&work.rank());
+                all = self.place_work(&mut work, now, &mut orders, actions);
+                if work.has_waiting() {
+                    self.queue.insert(work.rank());
                 }
-                continue;
+                is_one_open |= !all && work.was_placed;
             }
-            self.queue.remove(&work.rank());
-            let all = self.place_work(&mut work, now, &mut orders, actions);
-            if work.has_waiting() {
-                self.queue.insert(work.rank());
-            }
-            is_one_open |= !all && work.was_placed;
             self.works.insert(number, work);
             if !all {
                 behind += 1;
@@ -56,6 +49,13 @@
         self.send_orders(orders, now, actions);
     }
 
+    /// Whether a job may start of which nothing is placed, while another one `is_open` of which
+    /// tasks found no room.
+    fn may_start(&self, work: &Work, is_open: bool, now: Duration) -> bool {
+        let has_to_fit = is_open && self.switch.whole_starts;
+        self.leaves_room(work, now) && (!has_to_fit || self.fits_whole(work, now))
+    }
+
     /// Whether enough room is free for a job of this urgency to start. Counted in whole tasks
     /// of its own, so that a system of a few tasks keeps none of them empty.
     fn leaves_room(&self, work: &Work, now: Duration) -> bool {
