--- a/crates/cassiarock-dispatch/src/run/entry.rs
+++ b/crates/cassiarock-dispatch/src/run/entry.rs
@@ -214,8 +214,7 @@
 }
 
 /// A configuration of 1,700 routes is some 250 KB, a second of a link of 2 Mbit/s. Read one at
-/// a time, those that come while one is read and have been replaced by then are never read: of
-/// a change each 80 ms only every tenth is.
+/// a time, those that come while one is read and have been replaced by then are never read.
 const CONFIGURATIONS: Feed = Feed {
     topic: configuration::TOPIC,
     read_kb: 1,
--- a/crates/cassiarock-transient/src/host/entries.rs
+++ b/crates/cassiarock-transient/src/host/entries.rs
@@ -101,8 +101,8 @@
     /// The load that this answers is a nearly full system. An end is told to the entry whose
     /// task it was, which may have nothing to place, and to others with the next heartbeat only,
     /// up to a tenth of a second later, while their jobs wait. Simulated with 55 entries in
-    /// bursts 0.972 in place of 0.969 are answered in time, with wide jobs 0.972 in place of
-    /// 0.964, with twelve entries 0.981 in place of 0.977, at 0.4 frames more a task.
+    /// bursts 0.972 in place of 0.969 are answered in time, with wide jobs 0.974 in place of
+    /// 0.964, with twelve entries 0.982 in place of 0.977, at 0.4 frames more a task.
     pub(super) fn tell_another(
         &mut self,
         owner: &Process,
--- a/crates/cassiarock-transient/src/scheduler/mod.rs
+++ b/crates/cassiarock-transient/src/scheduler/mod.rs
@@ -191,7 +191,13 @@
                 self.is_stirred = true;
             }
             Err((answer, told)) => {
-                if matches!(answer, Answer::Refused { is_overload, .. } if is_overload) {
+                if matches!(
+                    answer,
+                    Answer::Refused {
+                        is_overload: true,
+                        ..
+                    }
+                ) {
                     self.reserve.learn(work.class.priority, false);
                 }
                 actions.push(Action::Tell(told));
--- a/crates/cassiarock-transient/src/scheduler/reserve.rs
+++ b/crates/cassiarock-transient/src/scheduler/reserve.rs
@@ -20,7 +20,7 @@
 /// three quarters of it left the most urgent kind at 0.92 in time; a third more gained nothing.
 const STEP: f64 = 0.06;
 
-/// Steps that count: with more kinds the least urgent one would need half of the room free.
+/// Steps that count: the least urgent of nine kinds would need half of the room free.
 const STEPS: usize = 3;
 
 /// Room is kept for a kind only while its jobs come at least this often.
