Empty a data centre when operators order it

Cause: operators order a data centre to be emptied by a record of their topic (op/evacuate/ZONE); nothing in the system read it, so tasks went on starting there.

What operators order is one view now, followed from their topic: the configuration, and a state of evacuations with the offset before which records are folded into it. Of two states the one with the higher offset is newer, so a missed removal is known from the newest records, and none goes back. Entries place nothing there and pass the state on to other entries and to agents; agents turn away what is ordered all the same, and tell entries that their upstream takes no new work, so that an entry that has not heard stops as well. What runs may end.

Ruled out: agents that follow the topic themselves (2,900 more waiting reads, each of which would be sent every configuration in bulk).

--- a/crates/cassiarock-dispatch/src/agent.rs
+++ b/crates/cassiarock-dispatch/src/agent.rs
@@ -9,7 +9,7 @@
 use cassiarock_process::{Clock, Status};
 use cassiarock_transient::host::{Action, Answer, Look, Task};
 use cassiarock_transient::roster::{Roster, Step};
-use cassiarock_transient::{Host, Message};
+use cassiarock_transient::{Host, Message, evacuation};
 use cassiarock_wire::{Frame, Hello};
 use kameo::Actor;
 use kameo::message::{Context, Message as Handle};
@@ -73,6 +73,8 @@
     pub(crate) events: mpsc::Sender<Event>,
     pub(crate) orders: Orders,
     pub(crate) status: watch::Sender<Status>,
+    /// Which data centres operators are emptying, as entries say.
+    pub(crate) evacuations: evacuation::State,
 }
 
 impl Handle<Batch> for Agent {
@@ -175,10 +177,23 @@
                 }
                 Vec::new()
             }
+            Message::Evacuations(state) => self.evacuate(&state, &peer.process),
             message => self.host.message(&peer.process, message, now),
         }
     }
 
+    fn evacuate(&mut self, state: &evacuation::State, from: &Process) -> Vec<Action> {
+        if self.evacuations.adopt(state).is_none() {
+            return Vec::new();
+        }
+        let is_evacuated = self.evacuations.covers(&self.identity.data_centre);
+        if is_evacuated != self.host.is_evacuated() {
+            log::info!(evacuated = is_evacuated, offset = state.next(), from:% = from, running = self.host.running(); "evacuation");
+        }
+        metrics::gauge!("cassiarock_evacuated").set(f64::from(u8::from(is_evacuated)));
+        self.host.evacuate(is_evacuated)
+    }
+
     /// Links to the entries that the roster wants, and to no others.
     fn keep_links(&mut self, now: Duration) {
         let host = &self.host;
--- a/crates/cassiarock-dispatch/src/directory.rs
+++ b/crates/cassiarock-dispatch/src/directory.rs
@@ -1,7 +1,7 @@
 //! Where entries take links: a topic of our own on the platform's store.
 
 use crate::agent::Input;
-use crate::follow::{Feed, follow};
+use crate::follow::{Feed, News, follow};
 use cassiarock_adapter::store::{Entry, Part, keyed};
 use cassiarock_adapter::{Error, Store};
 use cassiarock_id::{Process, Wall};
@@ -101,7 +101,7 @@
 /// Tells which addresses of entries come and go, for ever. A record that cannot be read names
 /// none.
 pub(crate) async fn addresses(store: Store, found: mpsc::Sender<Input>) {
-    follow(store, FEED, |key, value| {
+    let tell = |key: &str, value: &[u8]| {
         let Ok(address) = key.parse() else {
             return;
         };
@@ -113,6 +113,14 @@
         if found.try_send(input).is_err() {
             log::warn!(address = key; "entry left out: too many at once");
         }
+    };
+    follow(store, FEED, |news| match news {
+        News::Newest(entries, _) => {
+            for entry in entries {
+                tell(&entry.key, &entry.value);
+            }
+        }
+        News::Record(_, key, value) => tell(key, value),
     })
     .await;
 }
--- a/crates/cassiarock-dispatch/src/entry.rs
+++ b/crates/cassiarock-dispatch/src/entry.rs
@@ -11,7 +11,7 @@
 use cassiarock_process::{Clock, Status};
 use cassiarock_transient::lag::Lag;
 use cassiarock_transient::scheduler::{Action, Answer, Stage};
-use cassiarock_transient::{Message, Scheduler, Table};
+use cassiarock_transient::{Message, Scheduler, Table, evacuation};
 use cassiarock_wire::{Frame, Hello, Role};
 use kameo::Actor;
 use kameo::message::{Context, Message as Handle};
@@ -34,6 +34,8 @@
     Link(Event),
     /// A configuration from the store.
     Configuration(Name),
+    /// The data centres to empty, from the store.
+    Evacuations(evacuation::State),
     /// What is on record of callers; asks for what this entry knows.
     Learned(Record, oneshot::Sender<Record>),
     /// Take no new jobs.
@@ -121,6 +123,10 @@
                 self.configure(&text, "the store");
                 Vec::new()
             }
+            Input::Evacuations(state) => {
+                self.evacuate(&state, "the store");
+                Vec::new()
+            }
             Input::Learned(known, reply) => {
                 // Who asks may have ended.
                 let _ = reply.send(self.learned(&known));
@@ -201,9 +207,10 @@
                 let peer = link.peer.clone();
                 log::info!(dependency:% = peer.process, role:? = peer.role; "link opened");
                 self.links.open(link);
+                self.tell_evacuations(&peer.process);
                 match peer.role {
                     Role::Agent => {
-                        self.scheduler.link(&peer.process, now);
+                        self.scheduler.link(&peer.process, &peer.data_centre, now);
                         self.tell_entries(&peer.process);
                     }
                     Role::Entry => self.meet(&peer),
@@ -250,10 +257,47 @@
                 }
                 Vec::new()
             }
+            (Role::Entry, Message::Evacuations(state)) => {
+                self.evacuate(&state, "another entry");
+                Vec::new()
+            }
             (_, message) => self.scheduler.message(&peer.process, message, now),
         }
     }
 
+    /// Takes operators' orders to empty data centres if they are newer than those known, and
+    /// passes them on: to entries that the store turns away, and to agents, which follow no
+    /// topic of operators.
+    fn evacuate(&mut self, state: &evacuation::State, from: &'static str) {
+        let mut evacuations = self.scheduler.evacuations().clone();
+        let Some(change) = evacuations.adopt(state) else {
+            return;
+        };
+        let count = evacuations.data_centres().count();
+        metrics::gauge!("cassiarock_data_centres_evacuated").set(count as f64);
+        self.scheduler.evacuate(evacuations);
+        if change.is_empty() {
+            return;
+        }
+        log::info!(begun:? = change.begun, ended:? = change.ended, offset = state.next(), from = from; "evacuations");
+        let peers: Vec<Process> = self
+            .links
+            .all()
+            .map(|link| link.peer.process.clone())
+            .collect();
+        for peer in peers {
+            self.tell_evacuations(&peer);
+        }
+    }
+
+    /// Tells a peer which data centres are to be empty, if that is known here.
+    fn tell_evacuations(&self, peer: &Process) {
+        let known = self.scheduler.evacuations();
+        if known.next() > 0 {
+            send(&self.links, peer, Message::Evacuations(known.clone()));
+        }
+    }
+
     /// Sends the configuration in force to another entry.
     fn pass_on(&mut self, to: &Process) {
         match self.configuration.as_mut().map(Configuration::message) {
--- a/crates/cassiarock-dispatch/src/follow.rs
+++ b/crates/cassiarock-dispatch/src/follow.rs
@@ -1,6 +1,6 @@
 //! Follows a keyed topic of the platform's store.
 
-use cassiarock_adapter::store::{Part, split};
+use cassiarock_adapter::store::{Entry, Part, split};
 use cassiarock_adapter::{Error, Store};
 use cassiarock_platform::follow::Backoff;
 use std::time::Duration;
@@ -20,10 +20,19 @@
     pub(crate) skips: bool,
 }
 
-/// Gives each record of the topic's newest ones and all later ones to `take`, for ever: its
-/// key and its value. The store may forget the history and be away; then the newest records
-/// are read anew.
-pub(crate) async fn follow(store: Store, feed: Feed, mut take: impl FnMut(&str, &[u8])) {
+/// What a topic shows.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum News<'a> {
+    /// The newest record of each key, in place of all that was shown before, and the offset
+    /// from which later records follow. Keys that are missing have been dropped.
+    Newest(&'a [Entry], u64),
+    /// The record at this offset: its key and its value, which is empty if it drops the key.
+    Record(u64, &'a str, &'a [u8]),
+}
+
+/// Gives the topic's newest records and all later ones to `take`, for ever. The store may
+/// forget the history and be away; then the newest records are read anew.
+pub(crate) async fn follow(store: Store, feed: Feed, mut take: impl FnMut(News<'_>)) {
     let topic = feed.topic;
     let mut backoff = Backoff::default();
     let mut next = None;
@@ -59,7 +68,7 @@
     store: &Store,
     feed: Feed,
     next: Option<u64>,
-    take: &mut impl FnMut(&str, &[u8]),
+    take: &mut impl FnMut(News<'_>),
 ) -> Result<Option<u64>, Error> {
     let Feed {
         topic,
@@ -69,18 +78,16 @@
     let of = Part { topic, part: 0 };
     let Some(next) = next else {
         let (entries, end) = store.newest(of).await?;
-        for entry in entries {
-            take(&entry.key, &entry.value);
-        }
+        take(News::Newest(&entries, end));
         return Ok(Some(end));
     };
     match store.read(of, next, WAIT, read_kb).await {
         // A log that ends before what was read is another one.
         Ok(batch) if batch.end < next || batch.earliest > next => Ok(None),
         Ok(batch) => {
-            for record in &batch.records {
+            for (offset, record) in (next..).zip(&batch.records) {
                 if let Some((key, value)) = split(record) {
-                    take(key, value);
+                    take(News::Record(offset, key, value));
                 }
             }
             let read = next + batch.records.len() as u64;
--- a/crates/cassiarock-dispatch/src/lib.rs
+++ b/crates/cassiarock-dispatch/src/lib.rs
@@ -8,6 +8,7 @@
 mod learned;
 mod line;
 mod links;
+mod operator;
 mod orders;
 mod packed;
 mod reload;
--- a/crates/cassiarock-dispatch/src/run/agent.rs
+++ b/crates/cassiarock-dispatch/src/run/agent.rs
@@ -9,8 +9,8 @@
 use cassiarock_id::{Process, Wall};
 use cassiarock_peer::{Event, Identity, Key, Links};
 use cassiarock_process::{BACKLOG, Clock, Parts, Pump, Report, Stage, Status, forward, until};
-use cassiarock_transient::Host;
 use cassiarock_transient::roster::Roster;
+use cassiarock_transient::{Host, evacuation};
 use cassiarock_wire::Role;
 use kameo::actor::Spawn;
 use std::collections::HashMap;
@@ -130,5 +130,6 @@
         events,
         orders,
         status,
+        evacuations: evacuation::State::default(),
     }
 }
--- a/crates/cassiarock-dispatch/src/run/entry.rs
+++ b/crates/cassiarock-dispatch/src/run/entry.rs
@@ -2,11 +2,10 @@
 
 use super::{FLUSH, KEY, bind, identity, leave, monitor};
 use crate::entry::{Batch, Entry, Input};
-use crate::follow::{Feed, follow};
 use crate::reload::reload;
-use crate::{Error, directory, learned};
+use crate::{Error, directory, learned, operator};
 use cassiarock_adapter::callers::{self, Call, Door};
-use cassiarock_adapter::{Settings, Store, configuration};
+use cassiarock_adapter::{Settings, Store};
 use cassiarock_caller::Limit;
 use cassiarock_id::{Process, Wall};
 use cassiarock_peer::{Dialer, Event, Identity, Key, Links, Listener};
@@ -129,7 +128,10 @@
             "what callers usually wait",
             learned::keep(store.clone(), inputs.clone()),
         );
-        parts.spawn_vital("the configuration", configurations(store, inputs.clone()));
+        parts.spawn_vital(
+            "what operators order",
+            operator::orders(store, inputs.clone()),
+        );
         monitor(&settings, &statuses, &mut parts).await?;
         let is_leaving = Arc::new(AtomicBool::new(false));
         let configured_by = Instant::now() + CONFIGURED;
@@ -213,31 +215,6 @@
     }
 }
 
-/// A configuration of 1,700 routes is some 250 KB, a second of a link of 2 Mbit/s. Read one at
-/// a time, those that come while one is read and have been replaced by then are never read.
-const CONFIGURATIONS: Feed = Feed {
-    topic: configuration::TOPIC,
-    read_kb: 1,
-    skips: true,
-};
-
-async fn configurations(store: Store, inputs: mpsc::Sender<Input>) {
-    follow(store, CONFIGURATIONS, |key, value| {
-        if key != configuration::KEY {
-            return;
-        }
-        let Ok(text) = std::str::from_utf8(value) else {
-            log::warn!("configuration left out: not UTF-8");
-            return;
-        };
-        let sent = inputs.try_send(Input::Configuration(text.into()));
-        if sent.is_err() {
-            log::warn!("configuration left out: the entry is too far behind");
-        }
-    })
-    .await;
-}
-
 async fn serve(listener: TcpListener, router: axum::Router, mut closing: watch::Receiver<Stage>) {
     let limit = Limit {
         receive: IDLE,
--- a/crates/cassiarock-lab/src/simulation/agents.rs
+++ b/crates/cassiarock-lab/src/simulation/agents.rs
@@ -95,7 +95,9 @@
             return;
         }
         let (agent, entry) = (&mut self.agents[number], &mut self.entries[entry]);
-        entry.scheduler.link(&agent.process, self.now);
+        entry
+            .scheduler
+            .link(&agent.process, &agent.data_centre, self.now);
         let actions = agent.host.link(&entry.process, self.now);
         self.carry_out_agent(number, actions);
     }
--- a/crates/cassiarock-transient/src/host/mod.rs
+++ b/crates/cassiarock-transient/src/host/mod.rs
@@ -66,6 +66,8 @@
     is_known: bool,
     /// Whether this agent takes no new work.
     is_leaving: bool,
+    /// Whether operators are emptying the data centre.
+    is_evacuated: bool,
 }
 
 impl Host {
--- a/crates/cassiarock-transient/src/host/orders.rs
+++ b/crates/cassiarock-transient/src/host/orders.rs
@@ -101,7 +101,7 @@
         let Some(worker) = &self.worker else {
             return Some(End::Closed);
         };
-        let is_shut = self.is_leaving || worker.is_leaving || worker.is_gone;
+        let is_shut = self.is_closed() || worker.is_leaving || worker.is_gone;
         if is_shut || !self.is_known || self.lease.is_silent(now) {
             return Some(End::Closed);
         }
--- a/crates/cassiarock-transient/src/host/upstream.rs
+++ b/crates/cassiarock-transient/src/host/upstream.rs
@@ -83,6 +83,38 @@
         actions
     }
 
+    /// Operators are emptying the data centre, or have taken that back.
+    ///
+    /// Entries know it by themselves. It guards against one that does not, as it is cut off from
+    /// the store and from the others, or whose orders were on their way: it is told that the
+    /// upstream takes no new work, and what it has ordered is turned away and placed elsewhere.
+    /// What runs may end.
+    pub fn evacuate(&mut self, is_evacuated: bool) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if self.is_evacuated == is_evacuated {
+            return actions;
+        }
+        self.is_evacuated = is_evacuated;
+        let reason = if is_evacuated {
+            "the data centre is being emptied"
+        } else {
+            "the data centre may be used again"
+        };
+        self.tell_upstream(&mut actions, reason);
+        actions
+    }
+
+    /// Whether operators are emptying the data centre.
+    #[must_use]
+    pub const fn is_evacuated(&self) -> bool {
+        self.is_evacuated
+    }
+
+    /// Whether nothing new may start here, whatever the upstream says.
+    pub(super) const fn is_closed(&self) -> bool {
+        self.is_leaving || self.is_evacuated
+    }
+
     /// All attempts have ended with their upstream.
     pub(super) fn lose_all(
         &mut self,
@@ -133,7 +165,7 @@
     pub(super) fn upstream(&self) -> Option<Upstream> {
         let worker = self.worker.as_ref().filter(|worker| !worker.is_gone)?;
         let mut upstream = worker.upstream();
-        upstream.is_leaving |= self.is_leaving;
+        upstream.is_leaving |= self.is_closed();
         Some(upstream)
     }
 
@@ -161,7 +193,7 @@
         let worker = self.worker.as_ref();
         let is_open = self.is_known
             && !self.lease.is_silent(now)
-            && !self.is_leaving
+            && !self.is_closed()
             && worker.is_some_and(|worker| !worker.is_gone && !worker.is_leaving);
         let entries = self.owners.values().filter(|owner| owner.is_linked).count();
         Load {
--- a/crates/cassiarock-transient/src/message.rs
+++ b/crates/cassiarock-transient/src/message.rs
@@ -1,6 +1,6 @@
 //! What entries and agents tell each other about transient jobs.
 
-use crate::Demand;
+use crate::{Demand, evacuation};
 use cassiarock_id::Name;
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
@@ -194,4 +194,6 @@
     },
     /// Entry to agent: the addresses of all entries that it knows.
     Entries(Vec<Name>),
+    /// Entry to entry or agent: which data centres operators are emptying.
+    Evacuations(evacuation::State),
 }
--- a/crates/cassiarock-transient/src/scheduler/agent.rs
+++ b/crates/cassiarock-transient/src/scheduler/agent.rs
@@ -3,6 +3,7 @@
 use crate::Demand;
 use crate::message::{Load, Upstream};
 use crate::timing::{QUIET, RECLAIM};
+use cassiarock_id::Name;
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -12,6 +13,9 @@
     pub(super) upstream: Option<Upstream>,
     pub(super) load: Load,
     pub(super) is_linked: bool,
+    pub(super) data_centre: Name,
+    /// Whether operators are emptying its data centre.
+    pub(super) is_evacuated: bool,
     /// When the last message came.
     pub(super) heard: Duration,
     /// The agent's own clock in milliseconds, from its last heartbeat.
@@ -31,11 +35,13 @@
 }
 
 impl Agent {
-    pub(super) fn new(now: Duration) -> Self {
+    pub(super) fn new(data_centre: Name, now: Duration) -> Self {
         Self {
             upstream: None,
             load: Load::default(),
             is_linked: true,
+            data_centre,
+            is_evacuated: false,
             heard: now,
             clock: 0,
             serial: 0,
@@ -92,6 +98,7 @@
     /// Whether tasks may be placed there at all.
     pub(super) fn is_open(&self, now: Duration) -> bool {
         self.is_linked
+            && !self.is_evacuated
             && self.clock > 0
             && now.saturating_sub(self.heard) < QUIET
             && self
--- a/crates/cassiarock-transient/src/scheduler/mod.rs
+++ b/crates/cassiarock-transient/src/scheduler/mod.rs
@@ -22,7 +22,7 @@
 
 use crate::message::{Message, Order};
 use crate::timing::BEAT;
-use crate::{Class, Decision, Job};
+use crate::{Class, Decision, Job, evacuation};
 use agent::Agent;
 use cassiarock_id::{Name, Process};
 use chance::Chance;
@@ -78,6 +78,8 @@
     median: f64,
     /// The version of the configuration in force.
     version: u64,
+    /// The data centres that operators are emptying.
+    evacuations: evacuation::State,
     /// Which mechanisms decide.
     switch: Switch,
     chance: Chance,
@@ -232,10 +234,34 @@
         actions
     }
 
-    /// A link to an agent opened.
-    pub fn link(&mut self, agent: &Process, now: Duration) {
+    /// A link to an agent in this data centre opened.
+    pub fn link(&mut self, agent: &Process, data_centre: &Name, now: Duration) {
         let known = self.agents.entry(agent.clone());
-        known.or_insert_with(|| Agent::new(now)).link(now);
+        let known = known.or_insert_with(|| Agent::new(data_centre.clone(), now));
+        known.link(now);
+        known.is_evacuated = self.evacuations.covers(data_centre);
+    }
+
+    /// Operators have begun to empty data centres, or have taken that back.
+    ///
+    /// ```
+    /// use cassiarock_transient::{Scheduler, evacuation};
+    /// let mut scheduler = Scheduler::new();
+    /// scheduler.evacuate(evacuation::State::new(7, ["dc-1".into()]));
+    /// assert!(scheduler.evacuations().covers("dc-1"));
+    /// ```
+    pub fn evacuate(&mut self, evacuations: evacuation::State) {
+        for agent in self.agents.values_mut() {
+            agent.is_evacuated = evacuations.covers(&agent.data_centre);
+        }
+        self.evacuations = evacuations;
+        self.is_stirred = true;
+    }
+
+    /// Which data centres are left alone when tasks are placed.
+    #[must_use]
+    pub const fn evacuations(&self) -> &evacuation::State {
+        &self.evacuations
     }
 
     /// The last link to an agent is gone.
@@ -289,7 +315,8 @@
             | Message::EntryBeat { .. }
             | Message::AskConfiguration
             | Message::Configuration { .. }
-            | Message::Entries(_) => {}
+            | Message::Entries(_)
+            | Message::Evacuations(_) => {}
         }
         actions
     }
--- /dev/null
+++ b/crates/cassiarock-transient/tests/evacuation.rs
@@ -0,0 +1,35 @@
+//! What is known of the data centres that operators empty.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use cassiarock_transient::evacuation::State;
+
+// An entry that the store had turned away for seconds passed on what it knew. The data centre
+// had been taken back meanwhile, and was left empty again by all that heard it.
+#[test]
+fn a_state_that_is_older_changes_nothing() {
+    let mut state = State::new(9, []);
+    assert_eq!(state.adopt(&State::new(8, ["dc-1".into()])), None);
+    assert!(!state.covers("dc-1"));
+}
+
+#[test]
+fn an_order_that_is_missing_from_a_newer_state_has_ended() {
+    let mut state = State::new(4, ["dc-1".into(), "dc-2".into()]);
+    let change = state.adopt(&State::new(9, ["dc-2".into(), "dc-3".into()]));
+    let change = change.unwrap();
+    assert_eq!(change.begun, ["dc-3".into()]);
+    assert_eq!(change.ended, ["dc-1".into()]);
+}
+
+// The pages of newest records are no snapshot: a record that was written between two of them is
+// shown by the later page, and comes once more with the records that follow.
+#[test]
+fn a_record_that_a_snapshot_holds_already_may_come_again() {
+    let mut state = State::new(4, ["dc-1".into()]);
+    state.fold(4, "dc-1".into(), true);
+    state.fold(5, "dc-1".into(), false);
+    assert!(!state.covers("dc-1"));
+    state.fold(4, "dc-1".into(), true);
+    assert!(!state.covers("dc-1"));
+}
--- a/crates/cassiarock-transient/tests/host/orders.rs
+++ b/crates/cassiarock-transient/tests/host/orders.rs
@@ -1,6 +1,7 @@
 //! Orders, and what may be wrong with them.
 
 use crate::world::{World, entry, held, ms};
+use cassiarock_transient::Message;
 use cassiarock_transient::host::{Action, Answer};
 use cassiarock_transient::message::End;
 use cassiarock_transient::timing::CONTACT;
@@ -109,3 +110,23 @@
     assert_eq!(world.stops.len(), 1);
     assert_eq!(&*world.stops[0].job, "stranger");
 }
+
+// An order was on its way when the data centre began to be emptied, from an entry that had not
+// heard of it. Its tasks started there.
+#[test]
+fn a_data_centre_that_is_emptied_starts_nothing_and_lets_end_what_runs() {
+    let mut world = World::new();
+    world.order(1, "running", 1);
+    let actions = world.host.evacuate(true);
+    let told = actions.iter().any(|action| {
+        matches!(action, Action::Send(_, Message::Upstream(Some(upstream))) if upstream.is_leaving)
+    });
+    assert!(told, "{actions:?}");
+    world.order(1, "late", 2);
+    assert_eq!(world.end_of(2), Some(End::Closed));
+    assert_eq!(world.starts.len(), 1);
+    assert!(world.stops.is_empty());
+    world.host.evacuate(false);
+    world.order(1, "later", 3);
+    assert_eq!(world.starts.len(), 2);
+}
--- a/crates/cassiarock-transient/tests/scheduler/losses.rs
+++ b/crates/cassiarock-transient/tests/scheduler/losses.rs
@@ -1,9 +1,10 @@
 //! Agents that are lost, come back, or keep tasks too long.
 
-use crate::world::{World, agent, ms};
-use cassiarock_transient::Message;
+use crate::world::{DATA_CENTRE, World, agent, ms};
 use cassiarock_transient::message::End;
+use cassiarock_transient::scheduler::Answer;
 use cassiarock_transient::timing::RECLAIM;
+use cassiarock_transient::{Message, evacuation};
 
 // A task ran twice at once: its agent was cut off, the entry started it elsewhere at once,
 // and the cut-off upstream went on until its lease lapsed.
@@ -40,7 +41,9 @@
     let lost = world.placed[1].attempt;
     world.scheduler.unlink(&there.agent);
     world.now += ms(100);
-    world.scheduler.link(&there.agent, world.now);
+    world
+        .scheduler
+        .link(&there.agent, &DATA_CENTRE.into(), world.now);
     world.placed.retain(|task| task.attempt != lost);
     world.tell(&there.agent, Message::Held(vec![there.attempt]));
     world.beat();
@@ -62,7 +65,9 @@
     let task = world.placed[0].clone();
     world.scheduler.unlink(&task.agent);
     world.scheduler.abandon(1, "its caller left", world.now);
-    world.scheduler.link(&task.agent, world.now);
+    world
+        .scheduler
+        .link(&task.agent, &DATA_CENTRE.into(), world.now);
     world.tell(&task.agent, Message::Held(vec![task.attempt]));
     assert_eq!(world.halted, [task.attempt]);
 }
@@ -169,9 +174,38 @@
     assert_eq!(world.placed.len(), 1, "placed again");
     let second = world.placed[0].attempt;
     world.scheduler.unlink(&agent);
-    world.scheduler.link(&agent, world.now);
+    world.scheduler.link(&agent, &DATA_CENTRE.into(), world.now);
     world.tell(&agent, Message::Held(vec![first, second]));
     world.tell_ended(&agent, refusal);
     world.pass(50);
     assert_eq!(world.placed.len(), 1, "it still runs there");
 }
+
+// A third of the upstreams was being emptied, and was still counted as room: jobs were taken in
+// for it, waited, and were refused when it was too late to go elsewhere.
+#[test]
+fn what_is_being_emptied_counts_as_no_room_and_is_used_again_when_that_ends() {
+    let mut world = World::new(1);
+    world
+        .scheduler
+        .evacuate(evacuation::State::new(3, [DATA_CENTRE.into()]));
+    assert_eq!(world.scheduler.open(world.now), 0);
+    world.submit(1, 2, 100, 3_000);
+    assert!(matches!(world.answer(1), Some(Answer::Refused { .. })));
+    world.scheduler.evacuate(evacuation::State::new(4, []));
+    world.submit(2, 2, 100, 3_000);
+    assert_eq!(world.placed.len(), 2);
+}
+
+// An agent was restarted in a data centre that was being emptied. Its new link was taken for one
+// with room.
+#[test]
+fn an_agent_that_links_anew_where_all_is_emptied_gets_nothing() {
+    let mut world = World::new(0);
+    world
+        .scheduler
+        .evacuate(evacuation::State::new(3, [DATA_CENTRE.into()]));
+    world.add(agent(1));
+    world.beat();
+    assert_eq!(world.scheduler.open(world.now), 0);
+}
--- a/crates/cassiarock-transient/tests/scheduler/world.rs
+++ b/crates/cassiarock-transient/tests/scheduler/world.rs
@@ -11,6 +11,9 @@
 /// The room of each upstream: ten tasks.
 pub const ROOM: Demand = Demand::new(10_000, 1_000, 0);
 
+/// Where agents are that no test puts elsewhere.
+pub const DATA_CENTRE: &str = "dc-1";
+
 /// What each task takes.
 pub const TASK: Demand = Demand::new(1_000, 64, 0);
 
@@ -65,7 +68,7 @@
 
     /// Links an agent with an empty upstream.
     pub fn add(&mut self, agent: Process) {
-        self.scheduler.link(&agent, self.now);
+        self.scheduler.link(&agent, &DATA_CENTRE.into(), self.now);
         let upstream = Upstream {
             id: format!("u-{}", agent.name).into(),
             service: "s".into(),
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -5,6 +5,7 @@
 mod bad_input;
 mod configuration;
 mod directory;
+mod evacuation;
 mod explain;
 mod failures;
 mod job;
--- a/tests/platform/site.rs
+++ b/tests/platform/site.rs
@@ -113,15 +113,30 @@
 
     /// The same without waiting for links.
     pub async fn start_unlinked(entries: usize, agents: usize) -> Self {
-        Self::start_seeded(entries, agents, false).await
+        Self::start_seeded(entries, agents, 1, false).await
     }
 
     /// Starts so many entries that link to one another, and no agents.
     pub async fn start_entries(entries: usize) -> Self {
-        Self::start_seeded(entries, 0, true).await
+        Self::start_seeded(entries, 0, 1, true).await
     }
 
-    async fn start_seeded(entries: usize, agents: usize, are_entries_linked: bool) -> Self {
+    /// Starts so many entries, which link to one another or not, and agents in two data
+    /// centres by turns, and waits until each entry can place tasks on all.
+    pub async fn start_in_two(entries: usize, agents: usize, are_entries_linked: bool) -> Self {
+        let site = Self::start_seeded(entries, agents, 2, are_entries_linked).await;
+        for entry in &site.entries {
+            entry.linked(agents, START).await;
+        }
+        site
+    }
+
+    async fn start_seeded(
+        entries: usize,
+        agents: usize,
+        data_centres: usize,
+        are_entries_linked: bool,
+    ) -> Self {
         let room = ROOM.acquire().await.unwrap();
         let ports = Ports::new();
         let store = Stand::start().await.unwrap();
@@ -147,7 +162,8 @@
             let door = site.store.door().await.unwrap();
             door.with_fault(|fault| fault.down = true);
             let witness = site.witness.clone();
-            let agent = Agent::start(number, ports, door, &seeds, witness);
+            let data_centre = data_centre(number % data_centres);
+            let agent = Agent::start((number, &data_centre), ports, door, &seeds, witness);
             site.agents.push(agent);
         }
         site
@@ -159,6 +175,23 @@
         assert!(twice.is_empty(), "{twice:?}");
     }
 
+    /// Orders a data centre to be emptied. Gives when the store took the order.
+    pub fn evacuate(&self, data_centre: &str) -> Instant {
+        self.order(&format!("evacuate/{data_centre}"), b"{}")
+    }
+
+    /// Takes the order back.
+    pub fn restore(&self, data_centre: &str) -> Instant {
+        self.order(&format!("evacuate/{data_centre}"), b"")
+    }
+
+    fn order(&self, key: &str, value: &[u8]) -> Instant {
+        let length = u8::try_from(key.len()).unwrap();
+        let record = [&[length], key.as_bytes(), value].concat();
+        self.store.put("keyed.op", record);
+        Instant::now()
+    }
+
     /// Publishes a configuration with one queue.
     pub fn configure(&mut self) {
         self.configure_queues(1);
@@ -278,7 +311,13 @@
 }
 
 impl Agent {
-    fn start(number: usize, ports: Ports, door: Door, seeds: &[String], witness: Witness) -> Self {
+    fn start(
+        (number, data_centre): (usize, &str),
+        ports: Ports,
+        door: Door,
+        seeds: &[String],
+        witness: Witness,
+    ) -> Self {
         let ip = ports.ip(2, number);
         let name = format!("agent-{number}");
         let reports = SocketAddr::from((ip, ports.reports()));
@@ -286,7 +325,7 @@
         let upstream = upstream.unwrap();
         let seeds = quoted(seeds);
         let settings = format!(
-            "nodeName = \"{name}\"\nzone = \"dc-1\"\nip = \"{ip}\"\ninternalPorts = [{}, {}]\n\
+            "nodeName = \"{name}\"\nzone = \"{data_centre}\"\nip = \"{ip}\"\ninternalPorts = [{}, {}]\n\
              seeds = [{seeds}]\napp = \"{}\"\n[listen]\ncontrol = \"{reports}\"\n\
              [bounds]\ngraceS = 6\n[platform]\naddress = \"{}\"\n",
             ports.links(),
@@ -338,6 +377,11 @@
     }
 }
 
+/// The name of a data centre, counted from 0.
+pub fn data_centre(number: usize) -> String {
+    format!("dc-{}", number + 1)
+}
+
 /// A settings file, removed with its process.
 struct File(PathBuf);
 
