Show operators which data centres are being emptied, and what is left there

cassiarock status adds up over all entries what they still have in each data centre that is being emptied, and for how long that is known.

--- a/crates/cassiarock-dispatch/src/entry.rs
+++ b/crates/cassiarock-dispatch/src/entry.rs
@@ -6,16 +6,16 @@
 use crate::packed::{pack, unpack};
 use cassiarock_adapter::callers::Call;
 use cassiarock_adapter::{Store, configuration};
-use cassiarock_id::{Name, Process};
+use cassiarock_id::{Name, Process, Wall};
 use cassiarock_peer::{Event, Links};
-use cassiarock_process::{Clock, Status};
+use cassiarock_process::{Clock, Evacuation, Status};
 use cassiarock_transient::lag::Lag;
 use cassiarock_transient::scheduler::{Action, Answer, Stage};
 use cassiarock_transient::{Message, Scheduler, Table, evacuation};
 use cassiarock_wire::{Frame, Hello, Role};
 use kameo::Actor;
 use kameo::message::{Context, Message as Handle};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::convert::Infallible;
 use std::io;
 use std::sync::Arc;
@@ -63,6 +63,8 @@
     /// Where other entries take links, as they said.
     pub(crate) entries: BTreeSet<Name>,
     pub(crate) beat: Duration,
+    /// Since when data centres are known to be emptied.
+    pub(crate) evacuated: BTreeMap<Name, Wall>,
 }
 
 /// A configuration to pass on.
@@ -279,6 +281,14 @@
         if change.is_empty() {
             return;
         }
+        for data_centre in &change.ended {
+            self.evacuated.remove(data_centre);
+        }
+        let begun = change
+            .begun
+            .iter()
+            .map(|place| (place.clone(), Wall::now()));
+        self.evacuated.extend(begun);
         log::info!(begun:? = change.begun, ended:? = change.ended, offset = state.next(), from = from; "evacuations");
         let peers: Vec<Process> = self
             .links
@@ -394,6 +404,14 @@
     fn report(&self, now: Duration) {
         let open = self.scheduler.open(now);
         let ready = self.configuration.is_some() && open > 0;
+        let evacuated = self.evacuated.iter();
+        let evacuations: Vec<Evacuation> = evacuated
+            .map(|(data_centre, since)| Evacuation {
+                data_centre: data_centre.clone(),
+                since: *since,
+                tasks: self.scheduler.placed_in(data_centre),
+            })
+            .collect();
         let (jobs, links, version) = (self.scheduler.jobs(), self.links.len(), self.version());
         metrics::gauge!("cassiarock_jobs").set(jobs as f64);
         metrics::gauge!("cassiarock_agents_open").set(open as f64);
@@ -403,6 +421,7 @@
             status.jobs = jobs;
             status.links = links;
             status.version = version;
+            status.evacuations = evacuations;
             *status != before
         });
     }
--- a/crates/cassiarock-dispatch/src/run/entry.rs
+++ b/crates/cassiarock-dispatch/src/run/entry.rs
@@ -16,7 +16,7 @@
 use cassiarock_transient::{Scheduler, Table};
 use cassiarock_wire::Role;
 use kameo::actor::Spawn;
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -188,6 +188,7 @@
         status,
         entries: BTreeSet::new(),
         beat: Duration::ZERO,
+        evacuated: BTreeMap::new(),
     }
 }
 
--- a/crates/cassiarock-operator/src/run/status.rs
+++ b/crates/cassiarock-operator/src/run/status.rs
@@ -4,9 +4,11 @@
 use super::platform::Platform;
 use crate::http::Http;
 use crate::{Error, Exit, Report, Table};
+use cassiarock_id::{Name, Wall};
 use cassiarock_process::Status;
 use cassiarock_settings::Client;
 use serde_json::{Value, json};
+use std::collections::BTreeMap;
 
 /// Shows every process. In an outage of the log the agents cannot be listed; the entries
 /// are shown all the same, since that is when an operator looks.
@@ -25,7 +27,11 @@
     let complete = state.is_ok() && findings.iter().all(|finding| finding.status.is_ok());
     let report = Report::new(
         &machine(&log, &findings),
-        format!("log: {log}\n\n{}", table(&findings)),
+        format!(
+            "log: {log}\n\n{}{}",
+            table(&findings),
+            evacuations(&findings)
+        ),
     );
     Ok(if complete {
         report
@@ -67,6 +73,32 @@
         })
 }
 
+/// The data centres that operators are emptying, with what all entries still have there.
+fn evacuations(findings: &[Finding]) -> String {
+    let mut emptied: BTreeMap<&Name, (Wall, usize)> = BTreeMap::new();
+    let statuses = findings
+        .iter()
+        .filter_map(|found| found.status.as_ref().ok());
+    for evacuation in statuses.flat_map(|status| &status.evacuations) {
+        let first = (evacuation.since, 0);
+        let (since, tasks) = emptied.entry(&evacuation.data_centre).or_insert(first);
+        *since = evacuation.since.min(*since);
+        *tasks += evacuation.tasks;
+    }
+    if emptied.is_empty() {
+        return String::new();
+    }
+    let now = Wall::now();
+    let head = Table::new(["emptied", "for", "tasks left"]);
+    let table = emptied
+        .into_iter()
+        .fold(head, |table, (place, (since, tasks))| {
+            let seconds = now.since(since).as_secs();
+            table.with_row([place.to_string(), format!("{seconds} s"), tasks.to_string()])
+        });
+    format!("\n{table}")
+}
+
 fn row(status: &Status) -> [String; 11] {
     [
         status.process.name.to_string(),
--- a/crates/cassiarock-operator/tests/status.rs
+++ b/crates/cassiarock-operator/tests/status.rs
@@ -4,9 +4,9 @@
 
 use axum::routing::{get, post};
 use axum::{Json, Router};
-use cassiarock_id::Process;
+use cassiarock_id::{Process, Wall};
 use cassiarock_operator::{Action, Command, Exit, act};
-use cassiarock_process::Status;
+use cassiarock_process::{Evacuation, Status};
 use cassiarock_rule::{Explanation, Request, Set};
 use cassiarock_settings::Client;
 use serde_json::Value;
@@ -47,6 +47,27 @@
     );
 }
 
+// An operator emptied a data centre before work on its power, and could not see when it was empty.
+#[tokio::test]
+async fn a_data_centre_that_is_emptied_is_shown_with_the_tasks_that_all_entries_have_there() {
+    let mut entries = Vec::new();
+    for tasks in [3, 4] {
+        let name = format!("entry-{tasks}");
+        let mut status = Status::new(Process::new(name, 1), "entry", "andes-1");
+        status.evacuations.push(Evacuation {
+            data_centre: "andes-2".into(),
+            since: Wall::now(),
+            tasks,
+        });
+        let router = Router::new().route("/status", get(|| async { Json(status) }));
+        entries.push(serve(router).await);
+    }
+    let client = Client::new("ana", NOWHERE).with_status(entries);
+    let report = act(&client, &Action::Status).await.unwrap();
+    let row = report.text.lines().find(|line| line.starts_with("andes-2"));
+    assert!(row.unwrap().ends_with(" 7"), "{}", report.text);
+}
+
 #[tokio::test]
 async fn the_first_entry_that_answers_explains() {
     let answer = |Json(question): Json<Value>| async move {
--- a/crates/cassiarock-process/src/lib.rs
+++ b/crates/cassiarock-process/src/lib.rs
@@ -20,4 +20,4 @@
 pub use pump::{BACKLOG, Pump};
 pub use stage::{Report, Stage, until};
 pub use state::state;
-pub use status::Status;
+pub use status::{Evacuation, Status};
--- a/crates/cassiarock-process/src/status.rs
+++ b/crates/cassiarock-process/src/status.rs
@@ -1,9 +1,20 @@
 //! What a process says of itself on `GET /status`.
 
-use cassiarock_id::{Name, Process};
+use cassiarock_id::{Name, Process, Wall};
 use cassiarock_rule::State;
 use serde::{Deserialize, Serialize};
 
+/// A data centre that operators are emptying, as an entry sees it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Evacuation {
+    /// The data centre.
+    pub data_centre: Name,
+    /// When the entry heard of it.
+    pub since: Wall,
+    /// Tasks of the entry that are still there.
+    pub tasks: usize,
+}
+
 /// The state of one process, for operators and their tools.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Status {
@@ -34,6 +45,9 @@
     pub running: usize,
     /// Links with other processes.
     pub links: usize,
+    /// Data centres that operators are emptying, with what an entry still has there.
+    #[serde(default)]
+    pub evacuations: Vec<Evacuation>,
 }
 
 impl Status {
@@ -60,6 +74,7 @@
             waiting: 0,
             running: 0,
             links: 0,
+            evacuations: Vec::new(),
         }
     }
 
--- a/crates/cassiarock-transient/src/scheduler/mod.rs
+++ b/crates/cassiarock-transient/src/scheduler/mod.rs
@@ -134,6 +134,14 @@
         agents.filter(|agent| agent.is_open(now)).count()
     }
 
+    /// Tasks at agents of this data centre.
+    #[must_use]
+    pub fn placed_in(&self, data_centre: &str) -> usize {
+        let agents = self.agents.values();
+        let there = agents.filter(|agent| &*agent.data_centre == data_centre);
+        there.map(|agent| agent.placed).sum()
+    }
+
     /// The linked agents.
     pub fn linked(&self) -> impl Iterator<Item = &Process> {
         let agents = self.agents.iter();
