--- a/crates/cassiarock-lab/src/figures.rs
+++ b/crates/cassiarock-lab/src/figures.rs
@@ -36,6 +36,10 @@
     pub in_time: f64,
     /// The share that any scheduler could at most have answered in time.
     pub bound: f64,
+    /// What it is worth by the users' weights, prices left out.
+    pub worth: f64,
+    /// The share that got no answer of use.
+    pub unserved: f64,
     /// The share answered in time, by second of arrival.
     pub seconds: Vec<f64>,
     /// The share of the upstreams' work that no caller got an answer for.
@@ -61,6 +65,12 @@
     pub in_time: f64,
     /// The share that any scheduler could at most have answered in time.
     pub bound: f64,
+    /// What it is worth by the users' weights, prices left out.
+    pub worth: f64,
+    /// How far the worth of the seeds is from their mean: its standard deviation.
+    pub scatter: f64,
+    /// The share that got no answer of use.
+    pub unserved: f64,
     /// The share of the upstreams' work that no caller got an answer for.
     pub thrown: f64,
     /// Promises that were broken, with their seed.
@@ -78,7 +88,13 @@
             let told = seed.broken.iter();
             told.map(|fault| format!("seed {}: {fault}", seed.seed))
         });
+        let worth = mean(|seed| seed.worth);
+        let squares = seeds.iter().map(|seed| (seed.worth - worth).powi(2));
+        let scatter = (squares.sum::<f64>() / seeds.len().max(1) as f64).sqrt();
         Self {
+            worth,
+            scatter,
+            unserved: mean(|seed| seed.unserved),
             in_time: mean(|seed| seed.in_time),
             bound: mean(|seed| seed.bound),
             thrown: mean(|seed| seed.thrown),
@@ -154,10 +170,12 @@
         for seed in &self.seeds {
             writeln!(
                 f,
-                "seed {}: in time {:.3} of at most {:.3}; work thrown away {:.3}; refusals after {:.0} ms \
+                "seed {}: worth {:.3}, not served {:.4}; in time {:.3} of at most {:.3}; work thrown away {:.3}; refusals after {:.0} ms \
                  (99th percentile {:.0}); {:.2} frames a task; fair over kinds {:.3}, over entries {:.3}; \
                  longest queue {}",
                 seed.seed,
+                seed.worth,
+                seed.unserved,
                 seed.in_time,
                 seed.bound,
                 seed.thrown,
@@ -174,8 +192,8 @@
         }
         write!(
             f,
-            "in time {:.3} of at most {:.3}, work thrown away {:.3}",
-            self.in_time, self.bound, self.thrown
+            "worth {:.3} (scatter {:.3}), not served {:.4}, in time {:.3} of at most {:.3}, work thrown away {:.3}",
+            self.worth, self.scatter, self.unserved, self.in_time, self.bound, self.thrown
         )
     }
 }
--- a/crates/cassiarock-lab/src/lib.rs
+++ b/crates/cassiarock-lab/src/lib.rs
@@ -9,6 +9,7 @@
 mod error;
 mod event;
 mod figures;
+mod measure;
 mod promise;
 mod scenario;
 mod simulation;
--- a/crates/cassiarock-lab/src/scenario.rs
+++ b/crates/cassiarock-lab/src/scenario.rs
@@ -34,6 +34,37 @@
     /// What happens.
     #[serde(default)]
     pub disturbances: Vec<Disturbance>,
+    /// What users weigh.
+    #[serde(default)]
+    pub weights: Weights,
+}
+
+/// How users weigh what callers get.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Weights {
+    /// What was earned over the whole run.
+    pub whole: f64,
+    /// The share served at all, counted in nines.
+    pub served: f64,
+    /// What was earned in the worst seconds.
+    pub windows: f64,
+    /// What was earned by the worst-served kind.
+    pub worst_kind: f64,
+    /// The share not served that counts as none.
+    pub served_best: f64,
+}
+
+impl Default for Weights {
+    fn default() -> Self {
+        Self {
+            whole: 0.4,
+            served: 0.35,
+            windows: 0.15,
+            worst_kind: 0.1,
+            served_best: 0.001,
+        }
+    }
 }
 
 /// An entry.
@@ -100,6 +131,12 @@
     #[serde(default = "Kind::patience")]
     #[serde_as(as = "Time")]
     pub patience: Duration,
+    /// What an answer in time is worth.
+    #[serde(default = "one")]
+    pub worth: f64,
+    /// What a later one is worth.
+    #[serde(default = "Kind::late_worth")]
+    pub late_worth: f64,
 }
 
 /// A quantity: its mean, its deviation as a share of the mean, and its bound.
@@ -226,6 +263,7 @@
             positive("upstreams.speed", group.speed)?;
         }
         self.kinds.iter().try_for_each(Kind::check)?;
+        self.weights.check()?;
         self.disturbances
             .iter()
             .try_for_each(|disturbance| disturbance.check(self))
@@ -236,6 +274,16 @@
     }
 }
 
+impl Weights {
+    fn check(&self) -> Check {
+        not_negative("weights.whole", self.whole)?;
+        not_negative("weights.served", self.served)?;
+        not_negative("weights.windows", self.windows)?;
+        not_negative("weights.worst_kind", self.worst_kind)?;
+        positive("weights.served_best", self.served_best)
+    }
+}
+
 impl Kind {
     fn check(&self) -> Check {
         not_negative("kinds.rate", self.rate)?;
@@ -246,7 +294,13 @@
         positive("kinds.run_time.mean", self.run_time.mean.as_secs_f64())?;
         not_negative("kinds.run_time.spread", self.run_time.spread)?;
         not_negative("kinds.estimate_off", self.estimate_off)?;
-        positive("kinds.slack", self.slack)
+        positive("kinds.slack", self.slack)?;
+        not_negative("kinds.worth", self.worth)?;
+        not_negative("kinds.late_worth", self.late_worth)
+    }
+
+    const fn late_worth() -> f64 {
+        0.2
     }
 
     const fn memory_mib() -> u64 {
--- a/crates/cassiarock-lab/src/simulation/tally.rs
+++ b/crates/cassiarock-lab/src/simulation/tally.rs
@@ -2,6 +2,7 @@
 
 use crate::caller::{Caller, FIRST};
 use crate::figures::{Kind, Seed, jain};
+use crate::measure::{Measure, Outcome};
 use crate::scenario::Scenario;
 use cassiarock_id::Name;
 use cassiarock_transient::scheduler::Answer;
@@ -79,6 +80,8 @@
         let mut seconds = vec![(0_u64, 0_u64); scenario.length.as_secs_f64().ceil() as usize];
         let mut entries = vec![(0_u64, 0_u64); scenario.entries.len()];
         // Three digits of times up to ten minutes; the bounds are constants that it takes.
+        let mut measure = Measure::new(scenario);
+        let means = mean_work(scenario, callers);
         let mut refusals = Histogram::<u64>::new_with_bounds(1, 600_000, 3).ok();
         let owed = callers.iter().enumerate();
         for (number, caller) in owed.filter(|(_, caller)| caller.leaves.is_none()) {
@@ -86,6 +89,8 @@
             let is_in_time = u64::from(fate == Fate::InTime);
             count(&mut kinds[caller.kind], fate);
             let second = (caller.at - FIRST).as_secs() as usize;
+            let size = caller.work() / means[caller.kind].max(f64::MIN_POSITIVE);
+            measure.add(caller.kind, second, size, fate.outcome());
             for (asked, in_time) in [&mut seconds[second], &mut entries[caller.entry]] {
                 *asked += 1;
                 *in_time += is_in_time;
@@ -124,6 +129,8 @@
                     .collect::<Vec<_>>(),
             ),
             queue: self.queue,
+            worth: measure.worth(),
+            unserved: measure.unserved(),
             kinds,
             ..Seed::default()
         }
@@ -135,6 +142,28 @@
     }
 }
 
+impl Fate {
+    const fn outcome(self) -> Outcome {
+        match self {
+            Self::InTime => Outcome::InTime,
+            Self::Late => Outcome::Late,
+            Self::Refused | Self::GivenUp | Self::Failed | Self::Unanswered => Outcome::Unserved,
+        }
+    }
+}
+
+/// The mean work of a job, by kind.
+fn mean_work(scenario: &Scenario, callers: &[Caller]) -> Vec<f64> {
+    let mut sums = vec![(0.0, 0_u64); scenario.kinds.len()];
+    for caller in callers {
+        let (work, jobs) = &mut sums[caller.kind];
+        *work += caller.work();
+        *jobs += 1;
+    }
+    let means = sums.iter().map(|(work, jobs)| work / (*jobs).max(1) as f64);
+    means.collect()
+}
+
 fn count(kind: &mut Kind, fate: Fate) {
     kind.asked += 1;
     *match fate {
--- a/crates/cassiarock-operator/src/run/simulate.rs
+++ b/crates/cassiarock-operator/src/run/simulate.rs
@@ -67,16 +67,27 @@
 /// A row for each scenario and mechanism left out.
 fn table(played: &[Played]) -> String {
     let mut text = format!(
-        "{:<36} {:<14} {:>8} {:>8} {:>8} {:>11}\n",
-        "scenario", "without", "in time", "at most", "thrown", "worst kind"
+        "{:<36} {:<14} {:>7} {:>8} {:>10} {:>8} {:>8} {:>8} {:>11}\n",
+        "scenario",
+        "without",
+        "worth",
+        "scatter",
+        "not served",
+        "in time",
+        "at most",
+        "thrown",
+        "worst kind"
     );
     for one in played {
         let kinds = one.figures.kinds();
         let worst = kinds.iter().map(cassiarock_lab::Kind::share);
         text += &format!(
-            "{:<36} {:<14} {:>8.3} {:>8.3} {:>8.3} {:>11.3}\n",
+            "{:<36} {:<14} {:>7.3} {:>8.3} {:>10.4} {:>8.3} {:>8.3} {:>8.3} {:>11.3}\n",
             one.scenario,
             one.without.unwrap_or("-"),
+            one.figures.worth,
+            one.figures.scatter,
+            one.figures.unserved,
             one.figures.in_time,
             one.figures.bound,
             one.figures.thrown,
