Offer freed room to the most urgent job that any entry waits with

Cause: each entry orders its own queue only, and room that an end frees goes to whoever hears of it first.

--- a/crates/cassiarock-dispatch/src/entry.rs
+++ b/crates/cassiarock-dispatch/src/entry.rs
@@ -346,7 +346,11 @@
             .all()
             .filter(|link| link.peer.role == Role::Entry);
         for link in entries {
-            let message = Message::EntryBeat { echo: 0, version };
+            let message = Message::EntryBeat {
+                echo: 0,
+                version,
+                ask: None,
+            };
             // A link that does not take it is about to end.
             let _ = link.send(Frame::Transient(message));
         }
--- a/crates/cassiarock-transient/src/host/entries.rs
+++ b/crates/cassiarock-transient/src/host/entries.rs
@@ -38,11 +38,21 @@
                 serial,
                 echo,
                 orders,
-            } => self.order(entry, serial, Duration::from_millis(echo), orders, now),
+                ask,
+            } => {
+                let echo = Duration::from_millis(echo);
+                let mut actions = self.order(entry, serial, echo, orders, now);
+                self.ask(entry, ask, now);
+                self.offer(now, &mut actions);
+                actions
+            }
             Message::Halt(attempts) => self.halt(entry, &attempts, now),
-            Message::EntryBeat { echo, .. } => {
+            Message::EntryBeat { echo, ask, .. } => {
                 self.heard(entry, Duration::from_millis(echo));
-                Vec::new()
+                self.ask(entry, ask, now);
+                let mut actions = Vec::new();
+                self.offer(now, &mut actions);
+                actions
             }
             _ => Vec::new(),
         }
@@ -117,7 +127,7 @@
         }
     }
 
-    fn beat(&mut self, entry: &Process, now: Duration, actions: &mut Vec<Action>) {
+    pub(super) fn beat(&mut self, entry: &Process, now: Duration, actions: &mut Vec<Action>) {
         actions.push(self.beat_for(entry, now));
         if let Some(owner) = self.owners.get_mut(entry) {
             owner.told = now;
--- a/crates/cassiarock-transient/src/host/looks.rs
+++ b/crates/cassiarock-transient/src/host/looks.rs
@@ -142,7 +142,12 @@
         }
         let frees_room = endings.iter().any(|ending| !ending.end.is_unrun());
         if frees_room {
-            self.tell_another(entry, now, actions);
+            match self.hold(now) {
+                Some(other) if other != *entry => self.beat(&other, now, actions),
+                Some(_) => {}
+                None if !self.has_offer() => self.tell_another(entry, now, actions),
+                None => {}
+            }
         }
         let message = self.ended(entry, endings, now);
         actions.push(Action::Send(entry.clone(), message));
--- a/crates/cassiarock-transient/src/host/mod.rs
+++ b/crates/cassiarock-transient/src/host/mod.rs
@@ -4,6 +4,7 @@
 mod health;
 mod lease;
 mod looks;
+mod offer;
 mod orders;
 mod owner;
 mod run;
@@ -19,6 +20,7 @@
 use cassiarock_id::{Name, Process};
 use health::Health;
 use lease::Lease;
+use offer::Offer;
 use owner::Owner;
 use run::Runs;
 use std::collections::BTreeMap;
@@ -68,6 +70,8 @@
     is_leaving: bool,
     /// Whether operators are emptying the data centre.
     is_evacuated: bool,
+    /// Room that is held for an entry.
+    offer: Option<Offer>,
 }
 
 impl Host {
@@ -111,6 +115,7 @@
         let runs = &self.runs;
         self.owners
             .retain(|entry, owner| owner.is_linked || !owner.is_idle(now) || runs.has(entry));
+        self.offer(now, &mut actions);
         self.broadcast(now, &mut actions);
         actions
     }
@@ -120,7 +125,8 @@
     pub fn wake(&self, now: Duration) -> Duration {
         let linked = self.owners.values().filter(|owner| owner.is_linked);
         let next = linked.map(|owner| owner.told + BEAT).min();
-        next.unwrap_or(now + BEAT)
+        let next = next.unwrap_or(now + BEAT);
+        self.offered_until().map_or(next, |until| next.min(until))
     }
 }
 
--- /dev/null
+++ b/crates/cassiarock-transient/src/host/offer.rs
@@ -0,0 +1,143 @@
+//! Which entry is offered room that becomes free.
+//!
+//! The load that this answers is a nearly full system with several entries. Each orders only
+//! its own queue, so that freed room would go to whoever hears of it first, urgent or not.
+//! Entries ask agents for room for the job that they would place next; an agent holds what
+//! becomes free for the most urgent ask, and for the next one if that entry passes.
+
+use super::{Action, Host};
+use crate::Demand;
+use crate::message::Ask;
+use cassiarock_id::Process;
+use std::time::Duration;
+
+/// How long room is held for an entry: the way there and back between data centres, and the
+/// turn of an entry that has a fraction of a core.
+const HOLD: Duration = Duration::from_millis(10);
+
+/// An entry that still waits repeats its ask with each heartbeat, every 100 ms; an older ask
+/// has been met elsewhere.
+const FRESH: Duration = Duration::from_millis(150);
+
+/// Room that is held for an entry.
+#[derive(Clone, Debug)]
+pub(super) struct Offer {
+    to: Process,
+    until: Duration,
+    room: Demand,
+}
+
+impl Offer {
+    fn is_open(&self, now: Duration) -> bool {
+        now < self.until
+    }
+}
+
+/// What an entry asks for, and since when.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Asked {
+    ask: Ask,
+    at: Duration,
+}
+
+impl Asked {
+    /// The least goes first, in the order in which each entry ranks its own jobs.
+    fn rank(&self) -> (bool, bool, bool, u32, Duration) {
+        let Ask {
+            is_late,
+            is_unstarted,
+            has_waited,
+            urgency,
+            left,
+            ..
+        } = self.ask;
+        (is_late, is_unstarted, has_waited, urgency, self.at + left)
+    }
+
+    fn fits(&self, free: &Demand, now: Duration) -> bool {
+        now < self.at + FRESH && self.ask.demand.fits(free)
+    }
+
+    /// The part of `free` that it can use.
+    fn room(&self, free: &Demand) -> Demand {
+        let Ask { demand, tasks, .. } = self.ask;
+        let tasks = free.holds(&demand).min(u64::from(tasks));
+        (0..tasks).fold(Demand::default(), |room, _| room.plus(&demand))
+    }
+}
+
+impl Host {
+    /// What `entry` waits for now; nothing if it passes. An offer to it is answered by that.
+    pub(super) fn ask(&mut self, entry: &Process, ask: Option<Ask>, now: Duration) {
+        if let Some(owner) = self.owners.get_mut(entry) {
+            owner.asked = ask.map(|ask| Asked { ask, at: now });
+        }
+        if self.is_offered(entry, now) {
+            self.offer = None;
+        }
+    }
+
+    /// Whether room is held for `entry`.
+    pub(super) fn is_offered(&self, entry: &Process, now: Duration) -> bool {
+        let offer = self.offer.as_ref();
+        offer.is_some_and(|offer| offer.is_open(now) && offer.to == *entry)
+    }
+
+    /// Whether room is held for any entry.
+    pub(super) fn has_offer(&self) -> bool {
+        self.offer.is_some()
+    }
+
+    /// The room that `entry` may use: all that is free but for what is held for another.
+    pub(super) fn free_for(&self, entry: &Process, now: Duration) -> Demand {
+        match &self.offer {
+            Some(offer) if offer.is_open(now) && offer.to != *entry => {
+                self.free().minus(&offer.room)
+            }
+            _ => self.free(),
+        }
+    }
+
+    /// When the room that is held has to be offered to another entry.
+    pub(super) fn offered_until(&self) -> Option<Duration> {
+        self.offer.as_ref().map(|offer| offer.until)
+    }
+
+    /// Holds free room for the most urgent ask and tells its entry.
+    pub(super) fn offer(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        if let Some(entry) = self.hold(now) {
+            self.beat(&entry, now, actions);
+        }
+    }
+
+    /// Holds free room for the most urgent ask. Gives the entry that has to be told; none if
+    /// room is held already, or nobody asks for what is free.
+    pub(super) fn hold(&mut self, now: Duration) -> Option<Process> {
+        match self.offer.take() {
+            Some(offer) if offer.is_open(now) => {
+                self.offer = Some(offer);
+                return None;
+            }
+            // It has not answered: what it asked for counts no more until it asks again.
+            Some(offer) => {
+                if let Some(owner) = self.owners.get_mut(&offer.to) {
+                    owner.asked = None;
+                }
+            }
+            None => {}
+        }
+        let free = self.free();
+        let owners = self.owners.iter();
+        let owners = owners.filter(|(_, owner)| owner.is_linked && !owner.is_retired);
+        let asks = owners.filter_map(|(entry, owner)| Some((entry, owner.asked.as_ref()?)));
+        let fit = asks.filter(|(_, asked)| asked.fits(&free, now));
+        let (entry, asked) = fit.min_by_key(|(_, asked)| asked.rank())?;
+        let (to, room) = (entry.clone(), asked.room(&free));
+        self.offer = Some(Offer {
+            to: to.clone(),
+            until: now + HOLD,
+            room,
+        });
+        Some(to)
+    }
+}
--- a/crates/cassiarock-transient/src/host/orders.rs
+++ b/crates/cassiarock-transient/src/host/orders.rs
@@ -58,7 +58,7 @@
                 job: order.job.clone(),
                 attempt: start.of(order.number),
             };
-            if let Some(end) = self.obstacle(&task, &start.demand, age, now, actions) {
+            if let Some(end) = self.obstacle(entry, &task, &start.demand, age, now, actions) {
                 turned.push(unrun(task.attempt, end));
                 continue;
             }
@@ -89,6 +89,7 @@
     /// Why `task` cannot be started now, if anything stands in its way.
     fn obstacle(
         &mut self,
+        entry: &Process,
         task: &Task,
         demand: &Demand,
         age: Duration,
@@ -111,7 +112,7 @@
             self.stop(&earlier, "its job was submitted again", now, actions);
             return Some(End::Busy);
         }
-        (!demand.fits(&self.free())).then_some(End::Full)
+        (!demand.fits(&self.free_for(entry, now))).then_some(End::Full)
     }
 
     /// An entry no longer wants these.
--- a/crates/cassiarock-transient/src/host/owner.rs
+++ b/crates/cassiarock-transient/src/host/owner.rs
@@ -1,5 +1,6 @@
 //! What an agent knows of an entry that places tasks on it.
 
+use super::offer::Asked;
 use crate::message::Ending;
 use crate::timing::CONTACT;
 use std::collections::VecDeque;
@@ -13,6 +14,8 @@
     pub(super) is_retired: bool,
     /// This agent's clock as the entry last echoed it.
     pub(super) echo: Duration,
+    /// What it waits for.
+    pub(super) asked: Option<Asked>,
     /// The number of its last orders.
     pub(super) serial: u64,
     /// When it was last told of the room.
--- a/crates/cassiarock-transient/src/host/upstream.rs
+++ b/crates/cassiarock-transient/src/host/upstream.rs
@@ -199,13 +199,14 @@
         Load {
             seen: self.owners.get(entry).map_or(0, |owner| owner.serial),
             free: if is_open {
-                self.free()
+                self.free_for(entry, now)
             } else {
                 Demand::default()
             },
             failing: self.health.failing(now),
             pace: self.health.pace().max(self.stalled(now)),
             entries: u16::try_from(entries).unwrap_or(u16::MAX),
+            is_offered: is_open && self.is_offered(entry, now),
         }
     }
 }
--- a/crates/cassiarock-transient/src/message.rs
+++ b/crates/cassiarock-transient/src/message.rs
@@ -50,6 +50,27 @@
     }
 }
 
+/// What an entry would start next, if it had room.
+#[serde_as]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Ask {
+    /// Whether it will be late in any case.
+    pub is_late: bool,
+    /// Whether nothing of its job is placed yet.
+    pub is_unstarted: bool,
+    /// Whether its caller had waited before it came.
+    pub has_waited: bool,
+    /// The operators' priority.
+    pub urgency: u32,
+    /// The time left until it has to start.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub left: Duration,
+    /// What each task takes.
+    pub demand: Demand,
+    /// How many tasks wait.
+    pub tasks: u32,
+}
+
 /// Tasks of one job to start on one upstream.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Order {
@@ -124,6 +145,9 @@
     pub pace: u16,
     /// How many entries place tasks on it.
     pub entries: u16,
+    /// Whether room is held for the receiving entry for a moment.
+    #[serde(default)]
+    pub is_offered: bool,
 }
 
 /// What an agent's upstream is.
@@ -152,6 +176,9 @@
         echo: u64,
         /// The orders.
         orders: Vec<Order>,
+        /// What the entry waits for besides.
+        #[serde(default)]
+        ask: Option<Ask>,
     },
     /// Entry to agent: stop these; nobody waits for them any more.
     Halt(Vec<Attempt>),
@@ -161,6 +188,9 @@
         echo: u64,
         /// The version of the configuration in force at the entry.
         version: u64,
+        /// What the entry waits for, if it asks this agent for room.
+        #[serde(default)]
+        ask: Option<Ask>,
     },
     /// Agent to entry: a heartbeat.
     AgentBeat {
--- a/crates/cassiarock-transient/src/scheduler/agent.rs
+++ b/crates/cassiarock-transient/src/scheduler/agent.rs
@@ -28,6 +28,8 @@
     pub(super) placed: usize,
     /// Whether it is kept out of placing for what its latest tasks showed.
     pub(super) is_ejected: bool,
+    /// Whether it holds room for this entry for a moment.
+    pub(super) is_offered: bool,
     /// When it was last sent its own clock.
     pub(super) echoed: Duration,
     /// Room for new tasks: as told, less what is on its way.
@@ -48,6 +50,7 @@
             sent: VecDeque::new(),
             placed: 0,
             is_ejected: false,
+            is_offered: false,
             echoed: Duration::ZERO,
             free: Demand::default(),
         }
@@ -65,6 +68,7 @@
 
     pub(super) fn update(&mut self, load: Load) {
         self.load = load;
+        self.is_offered = load.is_offered;
         while self
             .sent
             .front()
--- a/crates/cassiarock-transient/src/scheduler/mod.rs
+++ b/crates/cassiarock-transient/src/scheduler/mod.rs
@@ -3,6 +3,7 @@
 mod action;
 mod admit;
 mod agent;
+mod ask;
 mod chance;
 mod choose;
 mod eject;
@@ -20,7 +21,7 @@
 mod switch;
 mod work;
 
-use crate::message::{Message, Order};
+use crate::message::{Ask, Message, Order};
 use crate::timing::BEAT;
 use crate::{Class, Decision, Job, evacuation};
 use agent::Agent;
@@ -83,6 +84,8 @@
     /// Which mechanisms decide.
     switch: Switch,
     chance: Chance,
+    /// The job for which agents were last asked for room, and when.
+    asked: Option<(u64, Duration)>,
     /// Whether something has come since the last poll that may allow tasks to be placed.
     is_stirred: bool,
 }
@@ -365,18 +368,35 @@
 
     /// Sends each agent its own clock, unless orders have carried it lately.
     fn heartbeat(&mut self, now: Duration, actions: &mut Vec<Action>) {
-        for (process, agent) in &mut self.agents {
-            if agent.is_linked && now >= agent.echoed + BEAT {
-                agent.echoed = now;
-                let message = Message::EntryBeat {
-                    echo: agent.clock,
-                    version: self.version,
-                };
-                actions.push(Action::Send(process.clone(), message));
-            }
+        let ask = self.ask(now);
+        let agents = self.agents.iter();
+        let due = agents.filter(|(_, agent)| agent.is_linked && now >= agent.echoed + BEAT);
+        let due: Vec<Process> = due.map(|(process, _)| process.clone()).collect();
+        for process in due {
+            self.echo(&process, ask, now, actions);
         }
     }
 
+    /// Sends an agent its own clock, and what this entry asks it for.
+    fn echo(
+        &mut self,
+        process: &Process,
+        ask: Option<Ask>,
+        now: Duration,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(agent) = self.agents.get_mut(process) else {
+            return;
+        };
+        agent.echoed = now;
+        let message = Message::EntryBeat {
+            echo: agent.clock,
+            version: self.version,
+            ask,
+        };
+        actions.push(Action::Send(process.clone(), message));
+    }
+
     fn remove(&mut self, number: u64) -> Option<Work> {
         let work = self.works.remove(&number)?;
         self.queue.remove(&work.rank());
@@ -405,6 +425,7 @@
         now: Duration,
         actions: &mut Vec<Action>,
     ) {
+        let ask = self.ask(now);
         for (process, orders) in orders {
             let Some(agent) = self.agents.get_mut(&process) else {
                 continue;
@@ -413,6 +434,7 @@
                 serial: agent.send(now),
                 echo: agent.clock,
                 orders,
+                ask,
             };
             actions.push(Action::Send(process, message));
         }
--- a/crates/cassiarock-transient/src/scheduler/place.rs
+++ b/crates/cassiarock-transient/src/scheduler/place.rs
@@ -5,7 +5,7 @@
 use super::{Action, Scheduler, told};
 use crate::message::{Order, Start};
 use cassiarock_id::Process;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// Jobs in the queue that are looked at in one round once one of them found no room: a small
@@ -16,6 +16,7 @@
     /// Places waiting tasks, the jobs that have to start first before others.
     pub(super) fn place(&mut self, now: Duration, actions: &mut Vec<Action>) {
         if self.queue.is_empty() {
+            self.ask_for_room(&BTreeSet::new(), now, actions);
             return;
         }
         let mut orders: BTreeMap<Process, Vec<Order>> = BTreeMap::new();
@@ -46,7 +47,9 @@
                 }
             }
         }
+        let ordered: BTreeSet<Process> = orders.keys().cloned().collect();
         self.send_orders(orders, now, actions);
+        self.ask_for_room(&ordered, now, actions);
     }
 
     /// Whether a job may start of which nothing is placed, while another one `is_open` of which
--- a/crates/cassiarock-transient/src/scheduler/switch.rs
+++ b/crates/cassiarock-transient/src/scheduler/switch.rs
@@ -15,6 +15,8 @@
     pub priority: bool,
     /// Leaving room to more urgent jobs.
     pub reserve: bool,
+    /// Asking agents for room that they free.
+    pub asking: bool,
     /// Placing callers who have waited before after others.
     pub waited_last: bool,
     /// Keeping out upstreams that fail.
@@ -30,13 +32,14 @@
 /// The name of a mechanism and the field that it is.
 type Field = (&'static str, fn(&mut Switch) -> &mut bool);
 
-const FIELDS: [Field; 11] = [
+const FIELDS: [Field; 12] = [
     ("admission", |switch| &mut switch.admission),
     ("expiry", |switch| &mut switch.expiry),
     ("whole_starts", |switch| &mut switch.whole_starts),
     ("kept_rank", |switch| &mut switch.kept_rank),
     ("priority", |switch| &mut switch.priority),
     ("reserve", |switch| &mut switch.reserve),
+    ("asking", |switch| &mut switch.asking),
     ("waited_last", |switch| &mut switch.waited_last),
     ("ejection", |switch| &mut switch.ejection),
     ("moving", |switch| &mut switch.moving),
@@ -53,6 +56,7 @@
             kept_rank: true,
             priority: true,
             reserve: true,
+            asking: true,
             waited_last: true,
             ejection: true,
             moving: true,
--- a/crates/cassiarock-transient/tests/host/room.rs
+++ b/crates/cassiarock-transient/tests/host/room.rs
@@ -1,9 +1,10 @@
 //! Whom an agent tells of freed room.
 
 use crate::world::{World, entry, ms};
-use cassiarock_transient::Message;
+use cassiarock_id::Process;
 use cassiarock_transient::host::Action;
-use cassiarock_transient::message::End;
+use cassiarock_transient::message::{Ask, End};
+use cassiarock_transient::{Demand, Message};
 
 /// The entries that are sent a heartbeat by these actions.
 fn told(actions: &[Action]) -> Vec<u64> {
@@ -60,3 +61,97 @@
     let actions = world.end_by_look(1, "j", 1, End::Done);
     assert!(told(&actions).is_empty(), "{actions:?}");
 }
+
+/// What an entry waits for: one task of a job with this priority that has to start in time.
+fn ask(urgency: u32) -> Ask {
+    Ask {
+        is_late: false,
+        is_unstarted: true,
+        has_waited: false,
+        urgency,
+        left: ms(100),
+        demand: Demand::new(1_000, 64, 0),
+        tasks: 1,
+    }
+}
+
+/// An entry says what it waits for. Gives whom the agent then offers room to.
+fn asks(world: &mut World, number: u64, ask: Option<Ask>) -> Option<Process> {
+    let message = Message::EntryBeat {
+        echo: u64::try_from(world.now.as_millis()).unwrap(),
+        version: 1,
+        ask,
+    };
+    let actions = world.host.message(&entry(number), message, world.now);
+    offered(&actions)
+}
+
+fn offered(actions: &[Action]) -> Option<Process> {
+    let mut sent = actions.iter();
+    sent.find_map(|action| match action {
+        Action::Send(to, Message::AgentBeat { load, .. } | Message::Ended { load, .. })
+            if load.is_offered =>
+        {
+            Some(to.clone())
+        }
+        _ => None,
+    })
+}
+
+/// An agent whose ten places are taken, with two more entries.
+fn full() -> World {
+    let mut world = World::new();
+    world.link(2);
+    world.link(3);
+    for number in 0..10 {
+        world.order(1, &format!("j-{number}"), 1);
+    }
+    assert_eq!(world.starts.len(), 10);
+    world
+}
+
+// Front desks looked seats up at one entry while another one had assignments to place that could
+// wait. Whichever heard first of a freed place took it; half of the look-ups came too late.
+#[test]
+fn freed_room_is_offered_to_the_most_urgent_ask_and_held_against_the_others() {
+    let mut world = full();
+    asks(&mut world, 2, Some(ask(2)));
+    asks(&mut world, 3, Some(ask(0)));
+    let actions = world.end_by_look(1, "j-0", 1, End::Done);
+    assert_eq!(offered(&actions), Some(entry(3)));
+    world.order(2, "hasty", 1);
+    assert_eq!(world.starts.len(), 10);
+    world.order(3, "urgent", 1);
+    assert_eq!(world.starts.len(), 11);
+}
+
+#[test]
+fn an_entry_that_passes_leaves_the_room_to_the_next_one() {
+    let mut world = full();
+    asks(&mut world, 2, Some(ask(2)));
+    asks(&mut world, 3, Some(ask(0)));
+    world.end_by_look(1, "j-0", 1, End::Done);
+    assert_eq!(asks(&mut world, 3, None), Some(entry(2)));
+}
+
+// The entry that was offered room had been killed. Nobody else was given it until the agent
+// had missed the entry's heartbeats.
+#[test]
+fn room_is_offered_to_the_next_entry_if_the_first_one_says_nothing() {
+    let mut world = full();
+    asks(&mut world, 2, Some(ask(2)));
+    asks(&mut world, 3, Some(ask(0)));
+    world.end_by_look(1, "j-0", 1, End::Done);
+    world.now += ms(10);
+    let actions = world.host.poll(world.now);
+    assert_eq!(offered(&actions), Some(entry(2)));
+}
+
+#[test]
+fn an_ask_that_was_not_repeated_counts_no_more() {
+    let mut world = full();
+    asks(&mut world, 3, Some(ask(0)));
+    world.now += ms(150);
+    let actions = world.end_by_look(1, "j-0", 1, End::Done);
+    assert_eq!(offered(&actions), None);
+}
--- a/crates/cassiarock-transient/tests/scheduler/main.rs
+++ b/crates/cassiarock-transient/tests/scheduler/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 mod answers;
+mod ask;
 mod burst;
 mod losses;
 mod order;
--- a/crates/cassiarock-transient/tests/scheduler/world.rs
+++ b/crates/cassiarock-transient/tests/scheduler/world.rs
@@ -110,6 +110,7 @@
             failing: 0,
             pace: 100,
             entries: 1,
+            is_offered: false,
         }
     }
 
