--- a/crates/cassiarock-dispatch/src/orders.rs
+++ b/crates/cassiarock-dispatch/src/orders.rs
@@ -11,9 +11,8 @@
 use tokio::sync::{Semaphore, mpsc, oneshot};
 
 /// How long a look waits for an end. While one look is left unanswered no end is heard of:
-/// where one call in twenty was, waits of 200 ms and 250 ms more for the answer kept an agent
-/// deaf nearly all the time. An agent on a calm day takes 0.0091 of a core with it, and took
-/// 0.0079 with the longer waits.
+/// with long waits an upstream that leaves one call in twenty unanswered would keep its agent
+/// deaf nearly all the time.
 const WAIT: Duration = Duration::from_millis(40);
 
 /// The pause after a look that failed at once: nothing listens there.
--- a/crates/cassiarock-transient/src/host/entries.rs
+++ b/crates/cassiarock-transient/src/host/entries.rs
@@ -90,8 +90,7 @@
     }
 
     /// A heartbeat to each entry that has been told nothing for a while. Ends carry the same,
-    /// so that under load few are needed: at 52 agents and 8 entries they were half of all
-    /// messages.
+    /// so that under load few are needed.
     pub(super) fn broadcast(&mut self, now: Duration, actions: &mut Vec<Action>) {
         let due = |owner: &Owner| owner.is_linked && now >= owner.told + BEAT;
         let due: Vec<Process> = self
@@ -110,9 +109,7 @@
     ///
     /// The load that this answers is a nearly full system. An end is told to the entry whose
     /// task it was, which may have nothing to place, and to others with the next heartbeat only,
-    /// up to a tenth of a second later, while their jobs wait. Simulated with 55 entries in
-    /// bursts 0.972 in place of 0.969 are answered in time, with wide jobs 0.974 in place of
-    /// 0.964, with twelve entries 0.982 in place of 0.977, at 0.4 frames more a task.
+    /// up to a tenth of a second later, while their jobs wait.
     pub(super) fn tell_another(
         &mut self,
         owner: &Process,
--- a/crates/cassiarock-transient/src/scheduler/admit.rs
+++ b/crates/cassiarock-transient/src/scheduler/admit.rs
@@ -14,8 +14,7 @@
 const AGAIN: Duration = Duration::from_secs(1);
 
 /// A process that has just started knows no agent yet; they are there within 300 ms. When all
-/// processes start at once, callers have waited for them: of a day's refusals two thirds fell
-/// into these milliseconds.
+/// processes start at once, callers have waited for them, and would all be refused.
 const START: Duration = Duration::from_secs(1);
 
 /// Without any upstream for a job, one is expected back within this time.
@@ -62,8 +61,7 @@
             let entries = open.iter().map(|agent| agent.load.entries).max();
             let share = capacity as f64 / 1000.0 / f64::from(entries.unwrap_or(1).max(1));
             // At the onset of a burst little has been placed, so that the rate to come is an
-            // even part of the system at least. With half of it, simulated bursts had 0.7 to
-            // 1.4 in a hundred callers fewer answered in time.
+            // even part of the system at least.
             let rate = self.rate.at(now).max(share).max(1.0);
             Duration::from_secs_f64(before.1 / rate / 1000.0)
         };
--- a/crates/cassiarock-transient/src/scheduler/place.rs
+++ b/crates/cassiarock-transient/src/scheduler/place.rs
@@ -24,7 +24,6 @@
         let mut behind = 0;
         // Whether a job is started of which tasks found no room. Others then start whole or not
         // at all: each would get a task placed here and there, and the last ones too late.
-        // Simulated at 2.5 times the room, 56 in place of 53 in a hundred are in time.
         let mut is_one_open = false;
         for number in numbers {
             let Some(mut work) = self.works.remove(&number) else {
--- a/crates/cassiarock-transient/src/scheduler/rank.rs
+++ b/crates/cassiarock-transient/src/scheduler/rank.rs
@@ -8,17 +8,15 @@
     /// Jobs that will be late in any case come after all others.
     ///
     /// By their latest start alone they would go before those that can still be on time. Under
-    /// lasting overload every job then waits until it is late: of 300 jobs a second 5 were on
-    /// time.
+    /// lasting overload every job then waits until it is late.
     pub(super) is_late: bool,
     /// Jobs of which tasks are placed come before others: their tasks that are done are worth
-    /// nothing until the last is. Without it, jobs of eight tasks had their last one placed
-    /// 130 ms after their first in a burst, twice as long as a task runs.
+    /// nothing until the last is. Without it the last task of a wide job is placed far later in
+    /// a burst than its first one has ended.
     pub(super) is_unstarted: bool,
     /// Callers who had waited before they came are answered late whatever is done. In the
     /// first second after a loss of all machines they are half of all callers; placed last,
-    /// they leave 34% in place of 31% of the worth of these seconds to be earned (mean of three
-    /// seeds of one day without processor time).
+    /// they leave the room to those who can be on time.
     pub(super) has_waited: bool,
     /// The operators' priority, 0 first.
     pub(super) urgency: u32,
--- a/crates/cassiarock-transient/src/scheduler/reserve.rs
+++ b/crates/cassiarock-transient/src/scheduler/reserve.rs
@@ -6,18 +6,11 @@
 //! not: the most urgent kind was the worst served. So a job of a less urgent kind starts only
 //! while a share of the room is free, a larger one for each step of urgency (trunk
 //! reservation). No entry has to know the others' queues for it.
-//!
-//! Simulated with 55 entries and 240 upstreams in bursts, 0.969 of all callers in place of 0.948
-//! are answered in time and 0.982 in place of 0.966 at all; of the most urgent kind 0.94 in
-//! place of 0.90, of the least urgent 0.90 in place of 0.97. With twelve entries and 70 upstreams
-//! 0.977 in place of 0.965 are in time, with four upstreams 0.925 in place of 0.916; with wide
-//! jobs 0.964 in place of 0.969.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// The share of the room that is left free for each step of urgency. Simulated with 55 entries,
-/// three quarters of it left the most urgent kind at 0.92 in time; a third more gained nothing.
+/// The share of the room that is left free for each step of urgency.
 const STEP: f64 = 0.06;
 
 /// Steps that count: the least urgent of nine kinds would need half of the room free.
@@ -26,8 +19,8 @@
 /// Room is kept for a kind only while its jobs come at least this often.
 const RECENT: Duration = Duration::from_secs(3);
 
-/// Answers that make up two thirds of what is known of a kind: with half as many, chance
-/// decided, and of simulated callers 0.5 in a hundred fewer were answered in time.
+/// Answers that make up two thirds of what is known of a kind: with far fewer chance decides,
+/// with far more a burst is over before it shows.
 const MEMORY: f64 = 40.0;
 
 /// Far beyond the room, keeping some of it free only starves the less urgent: with less than
--- a/crates/cassiarock-transient/src/scheduler/work.rs
+++ b/crates/cassiarock-transient/src/scheduler/work.rs
@@ -170,8 +170,7 @@
 
     /// Whether a job that has started keeps its rank though its latest start has passed: it
     /// can still be on time, or little of it is left to place. Behind all others its last tasks
-    /// found no room: of 1,050 jobs of a burst 75 failed after most of their tasks had run, with
-    /// this 25 (one day, processor time not counted).
+    /// would find no room, and what has run of it would be thrown away.
     pub(super) fn is_worth_ending(&self, now: Duration) -> bool {
         if !self.was_placed {
             return false;
