--- a/crates/cassiarock-lab/src/scenario.rs
+++ b/crates/cassiarock-lab/src/scenario.rs
@@ -189,6 +189,9 @@
     /// Which kind of jobs; all of them if none is named.
     #[serde(default)]
     pub kind: Option<Name>,
+    /// Which data centre is emptied.
+    #[serde(default)]
+    pub data_centre: Option<Name>,
 }
 
 /// What can happen.
@@ -209,6 +212,8 @@
     AllLost,
     /// A share of the callers leaves within their objective.
     Leaving,
+    /// Operators empty a data centre, and take that back at the end.
+    Emptied,
 }
 
 impl Scenario {
@@ -326,6 +331,17 @@
                 format!("give numbers from 0 to {}", scenario.size() - 1),
             ));
         }
+        let is_group = |name: &Name| {
+            let mut groups = scenario.upstreams.iter();
+            groups.any(|group| group.data_centre == *name)
+        };
+        if self.what == What::Emptied && !self.data_centre.as_ref().is_some_and(is_group) {
+            return Err(Problem::new(
+                "disturbances.data_centre",
+                "there is no such data centre to empty",
+                "name one of `upstreams.data_centre`",
+            ));
+        }
         let is_known = |name: &Name| scenario.kinds.iter().any(|kind| kind.name == *name);
         if let Some(name) = self.kind.as_ref().filter(|name| !is_known(name)) {
             return Err(Problem::new(
--- a/crates/cassiarock-lab/src/simulation/agents.rs
+++ b/crates/cassiarock-lab/src/simulation/agents.rs
@@ -67,6 +67,10 @@
         agent.process = Process::new(agent.process.name.clone(), life);
         agent.is_up = true;
         agent.host = Host::new();
+        // It has said nothing yet, and has nobody to tell.
+        let _ = agent
+            .host
+            .evacuate(self.evacuations.covers(&agent.data_centre));
         agent.upstream = new_upstream(agent.cores, agent.memory_mib);
         let worker = Worker {
             id: format!("u-{number}-{life}").into(),
@@ -155,7 +159,7 @@
         }
     }
 
-    fn carry_out_agent(&mut self, number: usize, actions: Vec<Action>) {
+    pub(super) fn carry_out_agent(&mut self, number: usize, actions: Vec<Action>) {
         let life = self.agents[number].process.incarnation;
         for action in actions {
             match action {
@@ -164,6 +168,7 @@
                     self.send(from, to, message);
                 }
                 Action::Start { task, .. } => {
+                    self.check_evacuation(number);
                     let event = Event::Start(number, life, task);
                     self.agenda.add(self.now + CALL, event);
                 }
--- /dev/null
+++ b/crates/cassiarock-lab/src/simulation/emptying.rs
@@ -0,0 +1,35 @@
+//! Operators empty data centres.
+
+use super::Simulation;
+use crate::caller::FIRST;
+use crate::scenario::What;
+use cassiarock_transient::evacuation::State;
+
+impl Simulation<'_> {
+    /// Tells all processes which data centres are being emptied now.
+    pub(super) fn evacuate(&mut self) {
+        let at = self.now - FIRST;
+        let on = self.scenario.disturbances.iter();
+        let on = on.filter(|what| what.what == What::Emptied && what.is_on(at));
+        let emptied = on.filter_map(|what| what.data_centre.clone());
+        self.evacuations = State::new(self.evacuations.next() + 1, emptied);
+        for entry in &mut self.entries {
+            entry.scheduler.evacuate(self.evacuations.clone());
+        }
+        for number in 0..self.agents.len() {
+            let agent = &mut self.agents[number];
+            let is_evacuated = self.evacuations.covers(&agent.data_centre);
+            let actions = agent.host.evacuate(is_evacuated);
+            self.carry_out_agent(number, actions);
+        }
+    }
+
+    /// Checks that an agent that orders a start is in no data centre that is being emptied.
+    pub(super) fn check_evacuation(&mut self, number: usize) {
+        let agent = &self.agents[number];
+        if self.evacuations.covers(&agent.data_centre) {
+            let fault = format!("{} ordered a start while it is emptied", agent.process.name);
+            self.promise.tell(fault);
+        }
+    }
+}
--- a/crates/cassiarock-lab/src/simulation/entries.rs
+++ b/crates/cassiarock-lab/src/simulation/entries.rs
@@ -32,7 +32,9 @@
 
     fn scheduler(&self, number: usize, life: u64) -> Scheduler {
         let seed = self.seed ^ (life << 32) ^ number as u64;
-        Scheduler::new().with_switch(self.switch).with_seed(seed)
+        let mut scheduler = Scheduler::new().with_switch(self.switch).with_seed(seed);
+        scheduler.evacuate(self.evacuations.clone());
+        scheduler
     }
 
     pub(super) fn lose_entry(&mut self, number: usize) {
--- a/crates/cassiarock-lab/src/simulation/mod.rs
+++ b/crates/cassiarock-lab/src/simulation/mod.rs
@@ -2,6 +2,7 @@
 
 mod agents;
 mod callers;
+mod emptying;
 mod entries;
 mod tally;
 
@@ -13,8 +14,8 @@
 use crate::upstream::Upstream;
 use agents::Agent;
 use cassiarock_id::{Name, Process};
-use cassiarock_transient::Message;
 use cassiarock_transient::scheduler::Switch;
+use cassiarock_transient::{Message, evacuation};
 use entries::Entry;
 use rand::SeedableRng;
 use rand_chacha::ChaCha12Rng;
@@ -48,6 +49,8 @@
     callers: Vec<Caller>,
     /// Whose a submission is: the caller, and which one of theirs.
     submissions: HashMap<u64, (usize, u32)>,
+    /// What operators order of data centres, as all processes know it.
+    evacuations: evacuation::State,
     promise: Promise,
     tally: Tally,
     random: ChaCha12Rng,
@@ -69,6 +72,7 @@
         agents: Vec::new(),
         callers,
         submissions: HashMap::new(),
+        evacuations: evacuation::State::default(),
         promise: Promise::default(),
         tally: Tally::default(),
         random,
@@ -183,12 +187,16 @@
                     self.lose_entry(entry);
                 }
             }
+            What::Emptied => self.evacuate(),
             What::Burst | What::Slow | What::Failing | What::Hanging | What::Leaving => {}
         }
     }
 
     fn over(&mut self, number: usize) {
         let what = self.scenario.disturbances[number].clone();
+        if what.what == What::Emptied {
+            self.evacuate();
+        }
         if !matches!(what.what, What::Lost | What::AllLost) {
             return;
         }
--- a/crates/cassiarock-lab/tests/play.rs
+++ b/crates/cassiarock-lab/tests/play.rs
@@ -23,6 +23,7 @@
     wide = { "wide.jsonc", 0.93 },
     small = { "small.jsonc", 0.86 },
     large = { "large.jsonc", 0.92 },
+    emptied = { "emptied.jsonc", 0.97 },
     far_too_much = { "twice-and-a-half.jsonc", 0.48 },
 )]
 fn no_promise_is_broken_and_most_callers_are_answered_in_time(name: &str, least: f64) {
@@ -106,6 +107,11 @@
         "upstreams": [{ "data_centre": "a", "count": 1, "cores": 1, "memory_mib": 1 }],
         "kinds": [{ "name": "k", "rate": -1, "tasks": { "mean": 1 }, "run_time": { "mean": "1s" },
             "cores": { "mean": 1 }, "slack": 1.6, "target": "60ms" }]"#, "field `kinds.rate`" },
+    no_such_data_centre = { r#""length": "2s", "entries": [{ "data_centre": "a" }],
+        "upstreams": [{ "data_centre": "a", "count": 1, "cores": 1, "memory_mib": 1 }],
+        "kinds": [{ "name": "k", "rate": 1, "tasks": { "mean": 1 }, "run_time": { "mean": "1s" },
+            "cores": { "mean": 1 }, "slack": 1.6, "target": "60ms" }],
+        "disturbances": [{ "at": "1s", "for": "1s", "what": "emptied", "data_centre": "b" }]"#, "field `disturbances.data_centre`" },
     no_such_upstream = { r#""length": "2s", "entries": [{ "data_centre": "a" }],
         "upstreams": [{ "data_centre": "a", "count": 1, "cores": 1, "memory_mib": 1 }],
         "kinds": [{ "name": "k", "rate": 1, "tasks": { "mean": 1 }, "run_time": { "mean": "1s" },
