Offer no room on an upstream that takes nothing new

Cause, found in reading: asks come with heartbeats of all entries, and an agent whose data centre is being emptied, or whose upstream is leaving or silent, answered each with an offer of room that may not be used.

--- a/crates/cassiarock-transient/src/host/offer.rs
+++ b/crates/cassiarock-transient/src/host/offer.rs
@@ -126,6 +126,9 @@
             }
             None => {}
         }
+        if !self.is_open(now) {
+            return None;
+        }
         let free = self.free();
         let owners = self.owners.iter();
         let owners = owners.filter(|(_, owner)| owner.is_linked && !owner.is_retired);
--- a/crates/cassiarock-transient/src/host/upstream.rs
+++ b/crates/cassiarock-transient/src/host/upstream.rs
@@ -189,12 +189,17 @@
         capacity.unwrap_or_default().minus(&self.runs.taken())
     }
 
-    pub(super) fn load(&self, entry: &Process, now: Duration) -> Load {
+    /// Whether new tasks may start on the upstream.
+    pub(super) fn is_open(&self, now: Duration) -> bool {
         let worker = self.worker.as_ref();
-        let is_open = self.is_known
+        self.is_known
             && !self.lease.is_silent(now)
             && !self.is_closed()
-            && worker.is_some_and(|worker| !worker.is_gone && !worker.is_leaving);
+            && worker.is_some_and(|worker| !worker.is_gone && !worker.is_leaving)
+    }
+
+    pub(super) fn load(&self, entry: &Process, now: Duration) -> Load {
+        let is_open = self.is_open(now);
         let entries = self.owners.values().filter(|owner| owner.is_linked).count();
         Load {
             seen: self.owners.get(entry).map_or(0, |owner| owner.serial),
--- a/crates/cassiarock-transient/tests/host/room.rs
+++ b/crates/cassiarock-transient/tests/host/room.rs
@@ -155,3 +155,19 @@
     let actions = world.end_by_look(1, "j-0", 1, End::Done);
     assert_eq!(offered(&actions), None);
 }
+
+// Each heartbeat of an entry with waiting jobs made an agent in an emptied data centre offer room
+// that nobody could use, ten times a second and entry.
+#[test]
+fn an_agent_that_takes_nothing_new_offers_nothing() {
+    let mut world = full();
+    world.host.evacuate(true);
+    world.end_by_look(1, "j-0", 1, End::Done);
+    let message = Message::EntryBeat {
+        echo: u64::try_from(world.now.as_millis()).unwrap(),
+        version: 1,
+        ask: Some(ask(0)),
+    };
+    let actions = world.host.message(&entry(3), message, world.now);
+    assert_eq!(actions, []);
+}
