--- /dev/null
+++ b/crates/cassiarock-transient/src/scheduler/link.rs
@@ -0,0 +1,151 @@
+//! Links with agents: what they tell, and what they are sent.
+
+use super::agent::Agent;
+use super::{Action, Scheduler};
+use crate::message::{Ask, Message, Order};
+use crate::timing::BEAT;
+use crate::{Decision, evacuation};
+use cassiarock_id::{Name, Process};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+impl Scheduler {
+    /// A link to an agent in this data centre opened.
+    pub fn link(&mut self, agent: &Process, data_centre: &Name, now: Duration) {
+        let known = self.agents.entry(agent.clone());
+        let known = known.or_insert_with(|| Agent::new(data_centre.clone(), now));
+        known.link(now);
+        known.is_evacuated = self.evacuations.covers(data_centre);
+    }
+
+    /// Operators have begun to empty data centres, or have taken that back.
+    ///
+    /// ```
+    /// use cassiarock_transient::{Scheduler, evacuation};
+    /// let mut scheduler = Scheduler::new();
+    /// scheduler.evacuate(evacuation::State::new(7, ["dc-1".into()]));
+    /// assert!(scheduler.evacuations().covers("dc-1"));
+    /// ```
+    pub fn evacuate(&mut self, evacuations: evacuation::State) {
+        for agent in self.agents.values_mut() {
+            agent.is_evacuated = evacuations.covers(&agent.data_centre);
+        }
+        self.evacuations = evacuations;
+        self.is_stirred = true;
+    }
+
+    /// Which data centres are left alone when tasks are placed.
+    #[must_use]
+    pub const fn evacuations(&self) -> &evacuation::State {
+        &self.evacuations
+    }
+
+    /// The last link to an agent is gone.
+    pub fn unlink(&mut self, agent: &Process) {
+        if let Some(agent) = self.agents.get_mut(agent) {
+            agent.is_linked = false;
+        }
+    }
+
+    /// A message of an agent.
+    pub fn message(&mut self, from: &Process, message: Message, now: Duration) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let Some(agent) = self.agents.get_mut(from) else {
+            return actions;
+        };
+        agent.heard = now;
+        self.is_stirred = true;
+        match message {
+            Message::AgentBeat { clock, load } => {
+                agent.clock = agent.clock.max(clock);
+                agent.update(load);
+            }
+            Message::Upstream(upstream) => {
+                let told = Decision::new("upstream", "", "").with("agent", from);
+                let told = match &upstream {
+                    Some(upstream) => told
+                        .with("upstream", &upstream.id)
+                        .with("leaving", upstream.is_leaving),
+                    None => told.with("upstream", "none"),
+                };
+                actions.push(Action::Tell(told));
+                if let Some(upstream) = &upstream {
+                    self.kinds.add(upstream);
+                }
+                agent.upstream = upstream;
+            }
+            Message::Ended {
+                clock,
+                endings,
+                load,
+            } => {
+                agent.clock = agent.clock.max(clock);
+                agent.update(load);
+                for ending in endings {
+                    self.settle(from, &ending, now, &mut actions);
+                }
+            }
+            Message::Held(held) => self.reconcile(from, &held, now, &mut actions),
+            Message::Orders { .. }
+            | Message::Halt(_)
+            | Message::EntryBeat { .. }
+            | Message::AskConfiguration
+            | Message::Configuration { .. }
+            | Message::Entries(_)
+            | Message::Evacuations(_) => {}
+        }
+        actions
+    }
+
+    /// Sends each agent its own clock, unless orders have carried it lately.
+    pub(super) fn heartbeat(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        let ask = self.ask(now);
+        let agents = self.agents.iter();
+        let due = agents.filter(|(_, agent)| agent.is_linked && now >= agent.echoed + BEAT);
+        let due: Vec<Process> = due.map(|(process, _)| process.clone()).collect();
+        for process in due {
+            self.echo(&process, ask, now, actions);
+        }
+    }
+
+    /// Sends an agent its own clock, and what this entry asks it for.
+    pub(super) fn echo(
+        &mut self,
+        process: &Process,
+        ask: Option<Ask>,
+        now: Duration,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(agent) = self.agents.get_mut(process) else {
+            return;
+        };
+        agent.echoed = now;
+        let message = Message::EntryBeat {
+            echo: agent.clock,
+            version: self.version,
+            ask,
+        };
+        actions.push(Action::Send(process.clone(), message));
+    }
+
+    pub(super) fn send_orders(
+        &mut self,
+        orders: BTreeMap<Process, Vec<Order>>,
+        now: Duration,
+        actions: &mut Vec<Action>,
+    ) {
+        let ask = self.ask(now);
+        for (process, orders) in orders {
+            let Some(agent) = self.agents.get_mut(&process) else {
+                continue;
+            };
+            let message = Message::Orders {
+                serial: agent.send(now),
+                echo: agent.clock,
+                orders,
+                ask,
+            };
+            actions.push(Action::Send(process, message));
+        }
+    }
+}
