--- a/crates/cassiarock-transient/src/host/looks.rs
+++ b/crates/cassiarock-transient/src/host/looks.rs
@@ -142,7 +142,7 @@
         }
         let frees_room = endings.iter().any(|ending| !ending.end.is_unrun());
         if frees_room {
-            match self.hold(now) {
+            match self.hold(now, actions) {
                 Some(other) if other != *entry => self.beat(&other, now, actions),
                 Some(_) => {}
                 None if !self.has_offer() => self.tell_another(entry, now, actions),
--- a/crates/cassiarock-transient/src/host/offer.rs
+++ b/crates/cassiarock-transient/src/host/offer.rs
@@ -6,8 +6,8 @@
 //! becomes free for the most urgent ask, and for the next one if that entry passes.
 
 use super::{Action, Host};
-use crate::Demand;
 use crate::message::Ask;
+use crate::{Decision, Demand};
 use cassiarock_id::Process;
 use std::time::Duration;
 
@@ -105,14 +105,14 @@
 
     /// Holds free room for the most urgent ask and tells its entry.
     pub(super) fn offer(&mut self, now: Duration, actions: &mut Vec<Action>) {
-        if let Some(entry) = self.hold(now) {
+        if let Some(entry) = self.hold(now, actions) {
             self.beat(&entry, now, actions);
         }
     }
 
     /// Holds free room for the most urgent ask. Gives the entry that has to be told; none if
     /// room is held already, or nobody asks for what is free.
-    pub(super) fn hold(&mut self, now: Duration) -> Option<Process> {
+    pub(super) fn hold(&mut self, now: Duration, actions: &mut Vec<Action>) -> Option<Process> {
         match self.offer.take() {
             Some(offer) if offer.is_open(now) => {
                 self.offer = Some(offer);
@@ -120,6 +120,8 @@
             }
             // It has not answered: what it asked for counts no more until it asks again.
             Some(offer) => {
+                let told = Decision::new("offer lapsed", "", "").with("to", &offer.to);
+                actions.push(Action::Tell(told));
                 if let Some(owner) = self.owners.get_mut(&offer.to) {
                     owner.asked = None;
                 }
@@ -136,6 +138,13 @@
         let fit = asks.filter(|(_, asked)| asked.fits(&free, now));
         let (entry, asked) = fit.min_by_key(|(_, asked)| asked.rank())?;
         let (to, room) = (entry.clone(), asked.room(&free));
+        let told = Decision::new("offered", "", "")
+            .with("to", &to)
+            .with("urgency", asked.ask.urgency)
+            .with("ask_age_ms", now.saturating_sub(asked.at).as_millis())
+            .with("free_cpu", free.cpu)
+            .with("held_cpu", room.cpu);
+        actions.push(Action::Tell(told));
         self.offer = Some(Offer {
             to: to.clone(),
             until: now + HOLD,
