Tell the room after the last of the ends that are told together

Cause, found in reading: ends of one poll of an upstream go to their entry in one message, whose room was worked out at the first of them; what the others freed was known with the next heartbeat only, up to 100 ms later. The test failed before (1,000 in place of 2,000).

--- a/crates/cassiarock-transient/src/host/looks.rs
+++ b/crates/cassiarock-transient/src/host/looks.rs
@@ -133,11 +133,19 @@
             return;
         }
         owner.told = now;
-        // Ends of one look go in one message.
-        if let Some(Action::Send(to, Message::Ended { endings: more, .. })) = actions.last_mut()
+        // Ends of one look go in one message, with the room after the last of them.
+        if let Some(Action::Send(
+            to,
+            Message::Ended {
+                endings: more,
+                load,
+                ..
+            },
+        )) = actions.last_mut()
             && to == entry
         {
             more.extend(endings);
+            *load = self.load(entry, now);
             return;
         }
         let frees_room = endings.iter().any(|ending| !ending.end.is_unrun());
--- a/crates/cassiarock-transient/tests/host/room.rs
+++ b/crates/cassiarock-transient/tests/host/room.rs
@@ -171,3 +171,13 @@
     let actions = world.host.message(&entry(3), message, world.now);
     assert_eq!(actions, []);
 }
+
+// Two tasks of a job ended within one poll of their upstream. Their entry was told of both ends in
+// one message, with the room as it was after the first: the second place stayed empty until the
+// next heartbeat.
+#[test]
+fn ends_that_are_told_together_come_with_the_room_after_the_last() {
+    let mut world = full();
+    world.look(&[], &[(1, "j-0", 1, End::Done), (2, "j-1", 1, End::Done)]);
+    assert_eq!(world.load.free.cpu, 2_000);
+}
