Ask only agents that could take the job's tasks

Cause, found in reading: heartbeats carried the ask to every agent, also those of another pool, without the wanted label, or kept out for what they did. They would hold room for it, be told that it is not needed, and have shown it to nobody meanwhile. The test failed before. Single pools, as the deployments here have, are touched by it only for agents that are kept out.

--- a/crates/cassiarock-transient/src/scheduler/ask.rs
+++ b/crates/cassiarock-transient/src/scheduler/ask.rs
@@ -3,7 +3,9 @@
 //! The load that this answers is a nearly full system with several entries: an agent that knows
 //! what each waits for offers the room that it frees to the most urgent one.
 
-use super::work::Phase;
+use super::agent::Agent;
+use super::choose::is_eligible;
+use super::work::{Phase, Work};
 use super::{Action, Scheduler};
 use crate::message::Ask;
 use cassiarock_id::Process;
@@ -17,9 +19,25 @@
 /// A job that still waits asks other agents after this time.
 const AGAIN: Duration = Duration::from_millis(50);
 
+/// The job that an entry would place next, if it had room.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Next<'a> {
+    work: &'a Work,
+    stage: usize,
+    ask: Ask,
+}
+
+impl Next<'_> {
+    /// What an agent is asked for; nothing if it could not take the job's tasks.
+    pub(super) fn ask_of(&self, agent: &Agent, now: Duration) -> Option<Ask> {
+        let wanted = &self.work.job.stages[self.stage];
+        is_eligible(self.work, wanted, agent, now).then_some(self.ask)
+    }
+}
+
 impl Scheduler {
-    /// What this entry would place next, if it had room.
-    pub(super) fn ask(&self, now: Duration) -> Option<Ask> {
+    /// The job that this entry would place next, if it had room.
+    pub(super) fn next(&self, now: Duration) -> Option<Next<'_>> {
         if !self.switch.asking {
             return None;
         }
@@ -28,7 +46,7 @@
         let (stage, _) = work.waiting(now).first().copied()?;
         let tasks = work.tasks[stage].iter();
         let waiting = tasks.filter(|task| matches!(task.phase, Phase::Waiting(_)));
-        Some(Ask {
+        let ask = Ask {
             is_late: rank.is_late,
             is_unstarted: rank.is_unstarted,
             has_waited: rank.has_waited,
@@ -36,7 +54,8 @@
             left: rank.latest.saturating_sub(now),
             demand: work.job.stages[stage].demand,
             tasks: u32::try_from(waiting.count()).unwrap_or(u32::MAX),
-        })
+        };
+        Some(Next { work, stage, ask })
     }
 
     /// Asks some agents for room for the job that is first in the queue, unless they were asked
@@ -51,15 +70,18 @@
         for process in self.unused_offers(ordered) {
             self.echo(&process, None, now, actions);
         }
-        let (Some(ask), Some(first)) = (self.ask(now), self.queue.first().copied()) else {
+        let Some(next) = self.next(now) else {
             return;
         };
-        let was_asked = |(number, at)| number == first.number && now < at + AGAIN;
+        let number = next.work.number;
+        let was_asked = |(job, at)| job == number && now < at + AGAIN;
         if self.asked.is_some_and(was_asked) {
             return;
         }
-        self.asked = Some((first.number, now));
-        for process in self.agents_to_ask(&ask, ordered, now) {
+        let ask = next.ask;
+        let asked = self.agents_to_ask(next, ordered, now);
+        self.asked = Some((number, now));
+        for process in asked {
             self.echo(&process, Some(ask), now, actions);
         }
     }
@@ -76,21 +98,26 @@
     }
 
     /// One agent for each task that waits, spread evenly from one drawn by chance.
-    fn agents_to_ask(&self, ask: &Ask, ordered: &BTreeSet<Process>, now: Duration) -> Vec<Process> {
+    fn agents_to_ask(
+        &self,
+        next: Next<'_>,
+        ordered: &BTreeSet<Process>,
+        now: Duration,
+    ) -> Vec<Process> {
         let agents = self.agents.iter();
-        let open: Vec<&Process> = agents
+        let able: Vec<&Process> = agents
             .filter(|(process, agent)| {
-                agent.is_open(now) && !agent.is_ejected && !ordered.contains(*process)
+                next.ask_of(agent, now).is_some() && !ordered.contains(*process)
             })
             .map(|(process, _)| process)
             .collect();
-        if open.is_empty() {
+        if able.is_empty() {
             return Vec::new();
         }
-        let count = MOST.min(ask.tasks as usize).min(open.len());
-        let step = open.len() / count.max(1);
-        let start = self.chance.below(open.len() as f64) as usize;
-        let spread = (0..count).map(|nth| open[(start + nth * step) % open.len()].clone());
+        let count = MOST.min(next.ask.tasks as usize).min(able.len());
+        let step = able.len() / count.max(1);
+        let start = self.chance.below(able.len() as f64) as usize;
+        let spread = (0..count).map(|nth| able[(start + nth * step) % able.len()].clone());
         spread.collect()
     }
 }
--- a/crates/cassiarock-transient/src/scheduler/link.rs
+++ b/crates/cassiarock-transient/src/scheduler/link.rs
@@ -99,11 +99,16 @@
 
     /// Sends each agent its own clock, unless orders have carried it lately.
     pub(super) fn heartbeat(&mut self, now: Duration, actions: &mut Vec<Action>) {
-        let ask = self.ask(now);
+        let next = self.next(now);
         let agents = self.agents.iter();
         let due = agents.filter(|(_, agent)| agent.is_linked && now >= agent.echoed + BEAT);
-        let due: Vec<Process> = due.map(|(process, _)| process.clone()).collect();
-        for process in due {
+        let due: Vec<(Process, Option<Ask>)> = due
+            .map(|(process, agent)| {
+                let ask = next.and_then(|next| next.ask_of(agent, now));
+                (process.clone(), ask)
+            })
+            .collect();
+        for (process, ask) in due {
             self.echo(&process, ask, now, actions);
         }
     }
@@ -134,8 +139,12 @@
         now: Duration,
         actions: &mut Vec<Action>,
     ) {
-        let ask = self.ask(now);
         for (process, orders) in orders {
+            let next = self.next(now);
+            let agent = self.agents.get(&process);
+            let ask = next
+                .zip(agent)
+                .and_then(|(next, agent)| next.ask_of(agent, now));
             let Some(agent) = self.agents.get_mut(&process) else {
                 continue;
             };
--- a/crates/cassiarock-transient/tests/scheduler/ask.rs
+++ b/crates/cassiarock-transient/tests/scheduler/ask.rs
@@ -1,7 +1,7 @@
 //! Asking agents for room.
 
 use crate::world::{ROOM, World, agent, ms};
-use cassiarock_transient::message::Load;
+use cassiarock_transient::message::{Load, Upstream};
 use cassiarock_transient::scheduler::Action;
 use cassiarock_transient::{Demand, Message};
 
@@ -68,3 +68,30 @@
     assert_eq!(world.placed.len(), 1);
     assert_eq!(world.placed[0].agent, agent(1));
 }
+
+// Two pools shared the entries. Agents of one were asked for room for jobs of the other, held it,
+// and were told that it was not needed, ten times a second and entry.
+#[test]
+fn agents_of_another_pool_are_not_asked() {
+    let mut world = World::new(2);
+    let other = Upstream {
+        id: "u-other".into(),
+        service: "other".into(),
+        capacity: ROOM,
+        labels: vec![],
+        is_leaving: false,
+    };
+    world.tell(&agent(1), Message::Upstream(Some(other)));
+    world.tell_full();
+    let job = crate::world::job(1, 3, 400);
+    let class = crate::world::class();
+    let mut actions = world.scheduler.submit(1, job, class, ms(3_000), world.now);
+    actions.extend(world.scheduler.poll(world.now));
+    world.now += ms(100);
+    actions.extend(world.scheduler.poll(world.now));
+    let asked = actions.iter().any(|action| {
+        matches!(action, Action::Send(to, Message::EntryBeat { ask: Some(_), .. }) if *to == agent(1))
+    });
+    assert!(!asked, "{actions:?}");
+    assert!(!asks(&actions).is_empty());
+}
