Ask for use of a data centre with jobs that the other one cannot hold

Traced by the entry's lines: the order was taken back and both agents open 2 ms after the store's answer; the test's jobs of 12 tasks fit into the other data centre (32), and all went there, as its upstreams had been the faster ones of late on the loaded machine. That choice is right, so the check was wrong. Now jobs of 40 tasks, which the other one cannot hold, have to reach it within the same second.

--- a/tests/platform/evacuation.rs
+++ b/tests/platform/evacuation.rs
@@ -20,6 +20,9 @@
 
 const EMPTIED: &str = "dc-1";
 
+/// Tasks of a core that two upstreams have no room for.
+const MORE: u32 = 40;
+
 /// Agents with even numbers are in the first of two data centres.
 fn is_emptied(run: &Run) -> bool {
     let mut parts = run.upstream.split('-');
@@ -55,14 +58,15 @@
     }
 }
 
-/// Waits until something starts in the first data centre.
+/// Waits until something starts in the first data centre, under jobs that the other one has no
+/// room for: smaller ones may rightly all go to upstreams that were faster of late.
 async fn is_used(site: &Site, entry: &Entry, first: u32, limit: Duration) {
     let since = Instant::now();
     let mut number = first;
     while starts_after(site, since) == 0 {
         assert!(since.elapsed() < limit, "{}", entry.process.output());
         let id = format!("{number:016x}");
-        submit(entry, &id, &body(12, 20), PATIENCE).await;
+        submit(entry, &id, &body(MORE, 20), PATIENCE).await;
         number += 1;
     }
 }
