Work out what an entry waits for once a round, and send evacuations without a copy of all peers

The first job that waits was looked up anew for each agent that gets orders; the peers' names were copied before each was told.

--- a/crates/cassiarock-dispatch/src/entry.rs
+++ b/crates/cassiarock-dispatch/src/entry.rs
@@ -290,13 +290,8 @@
             .map(|place| (place.clone(), Wall::now()));
         self.evacuated.extend(begun);
         log::info!(begun:? = change.begun, ended:? = change.ended, offset = state.next(), from = from; "evacuations");
-        let peers: Vec<Process> = self
-            .links
-            .all()
-            .map(|link| link.peer.process.clone())
-            .collect();
-        for peer in peers {
-            self.tell_evacuations(&peer);
+        for link in self.links.all() {
+            self.tell_evacuations(&link.peer.process);
         }
     }
 
--- a/crates/cassiarock-transient/src/scheduler/link.rs
+++ b/crates/cassiarock-transient/src/scheduler/link.rs
@@ -139,12 +139,10 @@
         now: Duration,
         actions: &mut Vec<Action>,
     ) {
-        for (process, orders) in orders {
-            let next = self.next(now);
-            let agent = self.agents.get(&process);
-            let ask = next
-                .zip(agent)
-                .and_then(|(next, agent)| next.ask_of(agent, now));
+        let next = self.next(now);
+        let ask_of = |process| next?.ask_of(self.agents.get(process)?, now);
+        let asks: Vec<Option<Ask>> = orders.keys().map(ask_of).collect();
+        for ((process, orders), ask) in orders.into_iter().zip(asks) {
             let Some(agent) = self.agents.get_mut(&process) else {
                 continue;
             };
