Tell the lives of an upstream apart that starts again under its id

Cause: an upstream's reports were judged by id and sequence alone, and answers to polls by nothing. One that starts again under its id counts its reports, ends and clock anew: its reports were dropped as old, its tasks waited for and its leases asked for by the former clock.

A life is now the id with the time of its start. All that hangs on one (lease, ends, health, offers) begins anew with the next; answers carry the life that they are of; a report of an unknown life that began earlier is checked by a poll; after an unanswered poll the next one renews nothing. Orders carry the time of start as a fence, so that a new life does nothing that was ordered from the former one; what was under way is over when a fenced poll shows it.

Ruled out: to end orders under way at once as for another id, as nothing in such an order says which life it is for.

The stand-in told of a run begun after it had been killed; it starts nothing then.

--- a/crates/cassiarock-dispatch/src/agent.rs
+++ b/crates/cassiarock-dispatch/src/agent.rs
@@ -4,12 +4,13 @@
 use crate::links::send;
 use crate::orders::Orders;
 use cassiarock_adapter::reports::Report;
-use cassiarock_id::{Name, Process};
+use cassiarock_adapter::worker::Target;
+use cassiarock_id::Process;
 use cassiarock_peer::{Dialer, Event, Identity, Key, Links};
 use cassiarock_process::{Clock, Status};
 use cassiarock_transient::host::{Action, Answer, Look, Task};
 use cassiarock_transient::roster::{Roster, Step};
-use cassiarock_transient::{Host, Message, evacuation};
+use cassiarock_transient::{Host, Life, Message, evacuation};
 use cassiarock_wire::{Frame, Hello};
 use kameo::Actor;
 use kameo::message::{Context, Message as Handle};
@@ -23,7 +24,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Glance {
     /// The life of the upstream to look at.
-    pub(crate) life: Name,
+    pub(crate) target: Target,
     /// The last end taken.
     pub(crate) seen: u64,
     /// Until when to renew the leases.
@@ -32,6 +33,19 @@
     pub(crate) asked: Duration,
 }
 
+impl Glance {
+    /// The same, for an upstream that has left an answer out: it may have started again under its
+    /// id. A lease by the clock of its former life would reach far too long in the new one, and
+    /// the number of an end there says nothing of the new one's.
+    pub(crate) fn without_renewal(self) -> Self {
+        Self {
+            seen: 0,
+            until: None,
+            ..self
+        }
+    }
+}
+
 /// What happens to an agent.
 #[derive(Debug)]
 pub(crate) enum Input {
@@ -43,16 +57,18 @@
     Entry(SocketAddr),
     /// The entry there has been gone for long.
     EntryGone(SocketAddr),
-    /// The upstream answered a start.
-    Started(Task, Answer, Option<u64>),
-    /// The upstream answered a stop.
-    Stopped(Task, Option<u64>),
+    /// A life of the upstream answered a start.
+    Started(Life, Task, Answer, Option<u64>),
+    /// A life of the upstream answered a stop.
+    Stopped(Life, Task, Option<u64>),
     /// What shall the next look ask for? None without an upstream.
     Glance(oneshot::Sender<Option<Glance>>),
     /// What a look showed.
     Look(Look),
-    /// The upstream with this id is gone; another life answers.
-    Gone(Name),
+    /// This life of the upstream is gone; another one answers.
+    Gone(Life),
+    /// This life of the upstream has seen a higher fence than this agent's.
+    Fenced(Life),
     /// Take no new tasks.
     Leave,
 }
@@ -98,10 +114,11 @@
     fn take(&mut self, input: Input, now: Duration) -> Vec<Action> {
         match input {
             Input::Report(Report::Here(worker)) => self.host.report(worker, now),
-            Input::Report(Report::Gone(id)) => self.host.gone(&id, "the upstream ended", now),
-            Input::Gone(id) => self
+            Input::Report(Report::Gone(id)) => self.host.deregister(&id, now),
+            Input::Gone(life) => self
                 .host
-                .gone(&id, "another life of the upstream answers", now),
+                .gone(&life, "another life of the upstream answers", now),
+            Input::Fenced(life) => self.host.fenced(&life),
             Input::Link(event) => self.event(event, now),
             Input::Entry(address) => {
                 self.roster.tell(address);
@@ -116,8 +133,10 @@
                 }
                 Vec::new()
             }
-            Input::Started(task, answer, clock) => self.host.started(&task, answer, clock, now),
-            Input::Stopped(task, clock) => self.host.stopped(&task, clock, now),
+            Input::Started(life, task, answer, clock) => {
+                self.host.started(&life, &task, answer, clock, now)
+            }
+            Input::Stopped(life, task, clock) => self.host.stopped(&life, &task, clock, now),
             Input::Glance(reply) => {
                 // The looks end with the process.
                 let _ = reply.send(self.glance(now));
@@ -132,16 +151,27 @@
     }
 
     fn glance(&mut self, now: Duration) -> Option<Glance> {
-        let worker = self.host.worker().filter(|worker| !worker.is_gone)?;
-        let life = worker.id.clone();
+        let target = self.target().filter(|_| !self.is_upstream_gone())?;
         Some(Glance {
-            life,
-            seen: self.host.seen(),
+            target,
+            seen: self.host.seen(now),
             until: self.host.renew(now),
             asked: now,
         })
     }
 
+    fn target(&self) -> Option<Target> {
+        let worker = self.host.worker()?;
+        Some(Target {
+            life: worker.life(),
+            fence: self.host.fence(),
+        })
+    }
+
+    fn is_upstream_gone(&self) -> bool {
+        self.host.worker().is_none_or(|worker| worker.is_gone)
+    }
+
     fn event(&mut self, event: Event, now: Duration) -> Vec<Action> {
         match event {
             Event::Up(link) => {
@@ -230,13 +260,13 @@
             match action {
                 Action::Send(to, message) => send(&self.links, &to, message),
                 Action::Start { task, spec, until } => {
-                    if let Some(worker) = self.host.worker() {
-                        self.orders.start(worker.id.clone(), task, spec, until);
+                    if let Some(target) = self.target() {
+                        self.orders.start(target, task, spec, until);
                     }
                 }
                 Action::Stop(task) => {
-                    if let Some(worker) = self.host.worker() {
-                        self.orders.stop(worker.id.clone(), task);
+                    if let Some(target) = self.target() {
+                        self.orders.stop(target, task);
                     }
                 }
                 Action::Look => {
@@ -252,7 +282,7 @@
 
     fn report(&self) {
         let (running, links) = (self.host.running(), self.links.len());
-        let ready = self.host.worker().is_some_and(|worker| !worker.is_gone);
+        let ready = !self.is_upstream_gone();
         metrics::gauge!("cassiarock_tasks_running").set(running as f64);
         self.status.send_if_modified(|status| {
             let before = status.clone();
--- a/crates/cassiarock-dispatch/src/orders.rs
+++ b/crates/cassiarock-dispatch/src/orders.rs
@@ -2,7 +2,7 @@
 
 use crate::agent::{Glance, Input};
 use cassiarock_adapter::Worker;
-use cassiarock_adapter::worker::{CONNECTIONS, Fault};
+use cassiarock_adapter::worker::{CONNECTIONS, Fault, Target};
 use cassiarock_id::Name;
 use cassiarock_transient::host::{Answer, Task};
 use std::sync::Arc;
@@ -65,22 +65,25 @@
         self.mean.store((mean * 7 + took) / 8, Ordering::Relaxed);
     }
 
-    pub(crate) fn start(&self, life: Name, task: Task, spec: Name, until: u64) {
+    pub(crate) fn start(&self, target: Target, task: Task, spec: Name, until: u64) {
         let this = self.clone();
         tokio::spawn(async move {
             // The semaphore is never closed.
             let _permit = this.free.acquire().await;
             let began = tokio::time::Instant::now();
             let limit = this.limit();
-            let input = match this.worker.start(&life, &task, &spec, until, limit).await {
+            let answer = this.worker.start(&target, &task, &spec, until, limit).await;
+            let life = target.life;
+            let input = match answer {
                 Ok((answer, clock)) => {
                     this.learn(began.elapsed());
-                    Input::Started(task, answer, clock)
+                    Input::Started(life, task, answer, clock)
                 }
                 Err(Fault::OtherLife) => Input::Gone(life),
+                Err(Fault::Fenced) => Input::Fenced(life),
                 Err(Fault::Call(error)) => {
                     log::warn!(task:% = task; "{error}");
-                    Input::Started(task, Answer::Silent, None)
+                    Input::Started(life, task, Answer::Silent, None)
                 }
             };
             metrics::histogram!("cassiarock_start_seconds").record(began.elapsed());
@@ -89,14 +92,17 @@
         });
     }
 
-    pub(crate) fn stop(&self, life: Name, task: Task) {
+    pub(crate) fn stop(&self, target: Target, task: Task) {
         let this = self.clone();
         tokio::spawn(async move {
             // The semaphore is never closed.
             let _permit = this.free.acquire().await;
-            let input = match this.worker.stop(&life, &task, this.limit()).await {
-                Ok(clock) => Input::Stopped(task, clock),
+            let answer = this.worker.stop(&target, &task, this.limit()).await;
+            let life = target.life;
+            let input = match answer {
+                Ok(clock) => Input::Stopped(life, task, clock),
                 Err(Fault::OtherLife) => Input::Gone(life),
+                Err(Fault::Fenced) => Input::Fenced(life),
                 Err(Fault::Call(error)) => {
                     // The host orders it again.
                     log::warn!(task:% = task; "{error}");
@@ -130,7 +136,12 @@
                 tokio::time::sleep(IDLE).await;
                 continue;
             };
-            let is_answered = self.look_once(glance, WAIT).await;
+            let is_answered = if lost.is_some() {
+                self.look_once(glance.without_renewal(), Duration::ZERO)
+                    .await
+            } else {
+                self.look_once(glance, WAIT).await
+            };
             match (is_answered, lost) {
                 (true, Some(since)) => {
                     let away_ms = since.elapsed().as_millis() as u64;
@@ -148,18 +159,19 @@
 
     async fn look_once(&self, glance: Glance, wait: Duration) -> bool {
         let Glance {
-            life,
+            target,
             seen,
             until,
             asked,
         } = glance;
         let look = self
             .worker
-            .look(&life, seen, until, wait, self.limit(), asked)
+            .look(&target, seen, until, wait, self.limit(), asked)
             .await;
         let (is_answered, input) = match look {
             Ok(look) => (true, Input::Look(look)),
-            Err(Fault::OtherLife) => (false, Input::Gone(life)),
+            Err(Fault::OtherLife) => (false, Input::Gone(target.life)),
+            Err(Fault::Fenced) => (false, Input::Fenced(target.life)),
             Err(Fault::Call(error)) => {
                 log::warn!(dependency = "upstream"; "lost: {error}");
                 return false;
--- a/crates/cassiarock-lab/src/simulation/agents.rs
+++ b/crates/cassiarock-lab/src/simulation/agents.rs
@@ -5,9 +5,9 @@
 use crate::scenario::{Group, What};
 use crate::upstream::{Run, Upstream, millis};
 use cassiarock_id::{Name, Process};
-use cassiarock_transient::Host;
 use cassiarock_transient::host::{Action, Answer, Task, Worker};
 use cassiarock_transient::message::End;
+use cassiarock_transient::{Host, Life};
 use rand::RngExt;
 use std::time::Duration;
 
@@ -41,6 +41,13 @@
     speed: f64,
 }
 
+impl Agent {
+    /// The life of its upstream.
+    fn life(&self) -> Life {
+        self.host.worker().map(Worker::life).unwrap_or_default()
+    }
+}
+
 impl Simulation<'_> {
     pub(super) fn add_agent(&mut self, number: usize, group: &Group) {
         let process = Process::new(format!("agent-{number}"), 0);
@@ -150,7 +157,9 @@
         let agent = &mut self.agents[number];
         // The lease itself is not modelled: an upstream is lost with its agent.
         let _ = agent.host.renew(self.now);
-        let look = agent.upstream.look(agent.host.seen(), self.now);
+        let upstream = agent.life();
+        let seen = agent.host.seen(self.now);
+        let look = agent.upstream.look(upstream, seen, self.now);
         let actions = agent.host.look(&look, self.now);
         self.carry_out_agent(number, actions);
         if is_regular {
@@ -213,8 +222,11 @@
             }
             Err(answer) => answer,
         };
-        let host = &mut self.agents[number].host;
-        let actions = host.started(&task, answer, clock, self.now);
+        let agent = &mut self.agents[number];
+        let upstream = agent.life();
+        let actions = agent
+            .host
+            .started(&upstream, &task, answer, clock, self.now);
         self.carry_out_agent(number, actions);
     }
 
@@ -246,7 +258,9 @@
             self.account(&run);
         }
         let clock = Some(millis(self.now));
-        let actions = self.agents[number].host.stopped(task, clock, self.now);
+        let agent = &mut self.agents[number];
+        let upstream = agent.life();
+        let actions = agent.host.stopped(&upstream, task, clock, self.now);
         self.carry_out_agent(number, actions);
         self.agenda
             .add(self.now + CALL, Event::Look(number, life, false));
--- a/crates/cassiarock-lab/src/upstream.rs
+++ b/crates/cassiarock-lab/src/upstream.rs
@@ -1,9 +1,9 @@
 //! A modelled upstream: it guards its room, and runs what it is told.
 
 use cassiarock_id::Name;
-use cassiarock_transient::Demand;
 use cassiarock_transient::host::{Answer, Look, Named, Task};
 use cassiarock_transient::message::End;
+use cassiarock_transient::{Demand, Life};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -72,7 +72,7 @@
     }
 
     /// What an agent sees that has taken the ends up to `seen`.
-    pub(crate) fn look(&mut self, seen: u64, now: Duration) -> Look {
+    pub(crate) fn look(&mut self, life: Life, seen: u64, now: Duration) -> Look {
         self.ended.retain(|(number, ..)| *number > seen);
         let named = |task: &Task| -> (Name, Named) {
             let attempt = task.attempt;
@@ -88,6 +88,7 @@
             (*number, job, attempt, *end)
         });
         Look {
+            life,
             clock: millis(now),
             asked: now,
             running: self.runs.values().map(|run| named(&run.task)).collect(),
--- a/crates/cassiarock-test-support/src/leased/fault.rs
+++ b/crates/cassiarock-test-support/src/leased/fault.rs
@@ -17,6 +17,8 @@
     pub unanswered: u32,
     /// How much later.
     pub late: Duration,
+    /// So much of its room is away, in thousandths of a core.
+    pub shrunk: u64,
     /// Tasks run this many times longer; 0 counts as 1.
     pub slow: u32,
 }
--- a/crates/cassiarock-test-support/src/leased/mod.rs
+++ b/crates/cassiarock-test-support/src/leased/mod.rs
@@ -93,6 +93,8 @@
 
 impl Drop for Upstream {
     fn drop(&mut self) {
+        // Its server ends a moment later; until then it must start nothing.
+        self.lock().is_dead = true;
         self.witness.gone(&self.name);
     }
 }
--- a/crates/cassiarock-test-support/src/leased/report.rs
+++ b/crates/cassiarock-test-support/src/leased/report.rs
@@ -1,6 +1,6 @@
 //! The upstream's reports to its agent.
 
-use super::state::{CPU, State};
+use super::state::State;
 use serde_json::json;
 use std::io;
 use std::net::SocketAddr;
@@ -15,9 +15,9 @@
 
 pub async fn run(name: String, address: SocketAddr, reports: SocketAddr, state: Arc<Mutex<State>>) {
     for sequence in 1_u64.. {
-        let (clock, fault) = {
+        let (clock, born, cpu, fault) = {
             let state = state.lock().unwrap_or_else(PoisonError::into_inner);
-            (state.clock(), state.fault)
+            (state.clock(), state.born, state.cpu(), state.fault)
         };
         let body = json!({
             "service": "tasks",
@@ -27,10 +27,11 @@
             "slots": 16,
             "state": if fault.is_leaving { "draining" } else { "ready" },
             "coldRemainingMs": 0,
-            "capacity": { "cpu": CPU, "memMb": 16_384, "gpu": 0 },
+            "capacity": { "cpu": cpu, "memMb": 16_384, "gpu": 0 },
             "labels": ["a", "r1-1"],
             "clockMs": clock,
             "sequence": sequence,
+            "born": born,
         });
         if !fault.is_mute {
             // An agent that is away is told again.
--- a/crates/cassiarock-test-support/src/leased/route.rs
+++ b/crates/cassiarock-test-support/src/leased/route.rs
@@ -40,12 +40,16 @@
     attempt: u32,
     spec: String,
     deadline_ms: u64,
+    #[serde(default)]
+    fencing_token: u64,
 }
 
 #[derive(Deserialize)]
 struct Stop {
     task: String,
     attempt: u32,
+    #[serde(default, rename = "fencingToken")]
+    fence: u64,
 }
 
 #[derive(Deserialize)]
@@ -55,6 +59,8 @@
     deadline_ms: Option<u64>,
     #[serde(default)]
     wait_ms: u64,
+    #[serde(default)]
+    fencing_token: u64,
 }
 
 fn lock(tasks: &Shared) -> MutexGuard<'_, Tasks> {
@@ -83,17 +89,30 @@
         tokio::spawn(async move {
             sleep(late).await;
             // Whatever comes of it, nobody hears.
-            let _ = lock(&tasks).start(task, start.attempt, lasts, start.deadline_ms);
+            let _ = lock(&tasks).start(
+                task,
+                start.attempt,
+                lasts,
+                start.deadline_ms,
+                start.fencing_token,
+            );
         });
         return std::future::pending().await;
     }
     let mut tasks = lock(&tasks);
-    let outcome = tasks.start(task, start.attempt, lasts, start.deadline_ms);
+    let outcome = tasks.start(
+        task,
+        start.attempt,
+        lasts,
+        start.deadline_ms,
+        start.fencing_token,
+    );
     let clock = tasks.clock();
     match outcome {
         Ok(()) => Json(json!({ "clockMs": clock })).into_response(),
         Err(refusal) => {
             let reason = match refusal {
+                Refusal::Fence => "fence",
                 Refusal::Old => "old",
                 Refusal::Late => "late",
                 Refusal::Room => "room",
@@ -109,6 +128,9 @@
         return StatusCode::BAD_REQUEST.into_response();
     };
     let mut tasks = lock(&tasks);
+    if !tasks.admit(stop.fence) {
+        return fenced(&tasks);
+    }
     tasks.stop(&task, stop.attempt);
     Json(json!({ "clockMs": tasks.clock() })).into_response()
 }
@@ -117,6 +139,9 @@
     let until = Instant::now() + Duration::from_millis(look.wait_ms);
     let mut changed = {
         let mut tasks = lock(&tasks);
+        if !tasks.admit(look.fencing_token) {
+            return fenced(&tasks);
+        }
         tasks.renew(look.deadline_ms);
         tasks.changed.subscribe()
     };
@@ -137,7 +162,14 @@
     });
     let running: Vec<_> = running.collect();
     let ended: Vec<_> = ended.collect();
-    Json(json!({ "clockMs": tasks.clock(), "running": running, "finished": ended })).into_response()
+    let (clock, born) = (tasks.clock(), tasks.born);
+    Json(json!({ "clockMs": clock, "born": born, "running": running, "finished": ended }))
+        .into_response()
+}
+
+fn fenced(tasks: &Tasks) -> Response {
+    let body = Json(json!({ "clockMs": tasks.clock(), "reason": "fence" }));
+    (StatusCode::CONFLICT, body).into_response()
 }
 
 fn parse(task: &str) -> Option<super::state::Name> {
--- a/crates/cassiarock-test-support/src/leased/state.rs
+++ b/crates/cassiarock-test-support/src/leased/state.rs
@@ -3,7 +3,7 @@
 use super::{Fault, Run, Witness};
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::sync::watch;
 
 /// All its room, in thousandths of a core.
@@ -41,6 +41,7 @@
 /// Why a start is turned away.
 #[derive(Clone, Copy, Debug)]
 pub enum Refusal {
+    Fence,
     Old,
     Late,
     Room,
@@ -50,6 +51,12 @@
 pub struct State {
     name: String,
     pub fault: Fault,
+    /// Whether it has been killed.
+    pub is_dead: bool,
+    /// When it started, in milliseconds since 1970.
+    pub born: u64,
+    /// The highest fence that it has seen.
+    fence: u64,
     started: Instant,
     until: u64,
     running: BTreeMap<Name, Running>,
@@ -66,6 +73,9 @@
         Self {
             name: name.to_owned(),
             fault: Fault::default(),
+            is_dead: false,
+            born: since_1970(),
+            fence: 0,
             started: Instant::now(),
             until: 0,
             running: BTreeMap::new(),
@@ -77,10 +87,22 @@
         }
     }
 
+    /// All its room now, in thousandths of a core.
+    pub fn cpu(&self) -> u64 {
+        CPU.saturating_sub(self.fault.shrunk)
+    }
+
     pub fn clock(&self) -> u64 {
         u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
 
+    /// Whether an order that carries this fence counts.
+    pub fn admit(&mut self, fence: u64) -> bool {
+        let counts = fence >= self.fence;
+        self.fence = self.fence.max(fence);
+        counts
+    }
+
     pub fn running(&self) -> usize {
         self.running.len()
     }
@@ -96,7 +118,14 @@
         attempt: u32,
         lasts: Duration,
         until: u64,
+        fence: u64,
     ) -> Result<(), Refusal> {
+        if self.is_dead {
+            return Err(Refusal::Late);
+        }
+        if !self.admit(fence) {
+            return Err(Refusal::Fence);
+        }
         if until <= self.clock() {
             return Err(Refusal::Late);
         }
@@ -112,7 +141,7 @@
             return Err(Refusal::Old);
         }
         let taken = self.running.len() as u64 * TASK;
-        if is_there.is_some() || taken + TASK > CPU {
+        if is_there.is_some() || taken + TASK > self.cpu() {
             return Err(Refusal::Room);
         }
         self.renew(Some(until));
@@ -201,6 +230,12 @@
     }
 }
 
+fn since_1970() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let millis = since.unwrap_or_default().as_millis();
+    u64::try_from(millis).unwrap_or(u64::MAX)
+}
+
 pub async fn tick(state: Arc<Mutex<State>>) {
     loop {
         tokio::time::sleep(TICK).await;
--- /dev/null
+++ b/crates/cassiarock-transient/src/host/lives.rs
@@ -0,0 +1,226 @@
+//! Lives of the upstream: of which one a report or an answer tells.
+
+use super::health::Health;
+use super::lease::Lease;
+use super::run::{Look, Run, Task};
+use super::worker::Worker;
+use super::{Action, Host};
+use crate::{Decision, Life};
+use std::time::Duration;
+
+/// What a fence rises by that the upstream has turned away as too low, in milliseconds: an hour,
+/// as fences are times.
+const FENCE_STEP: u64 = 3_600_000;
+
+/// What a report says of the upstream's life.
+enum Verdict {
+    /// The known one goes on.
+    Same,
+    /// Nothing that counts any more.
+    Outdated(&'static str),
+    /// A life that started before the known one, though it has not been heard of: held up on its
+    /// way, or the upstream's clock was set back. An answer of the upstream tells.
+    Doubtful,
+    /// Another one has begun.
+    New,
+}
+
+impl Host {
+    /// The upstream reports. A report of a life that has been followed by another is old news
+    /// that a broken network had held up.
+    pub fn report(&mut self, worker: Worker, now: Duration) -> Vec<Action> {
+        let mut actions = Vec::new();
+        match self.classify(&worker) {
+            Verdict::Same => self.update(worker, &mut actions),
+            Verdict::Outdated(reason) => actions.push(ignored(&worker.life(), reason)),
+            Verdict::Doubtful => {
+                actions.push(ignored(&worker.life(), "an earlier start"));
+                actions.push(Action::Look);
+            }
+            Verdict::New => self.begin(worker, "a new upstream", now, &mut actions),
+        }
+        actions
+    }
+
+    fn classify(&self, worker: &Worker) -> Verdict {
+        let Some(known) = &self.worker else {
+            return Verdict::New;
+        };
+        let (life, present) = (worker.life(), known.life());
+        if !present.is_other(&life) {
+            let is_older = worker.sequence < known.sequence;
+            return if is_older {
+                Verdict::Outdated("an earlier report")
+            } else {
+                Verdict::Same
+            };
+        }
+        // Nothing else is there: if the report was held up, no order will be answered.
+        if known.is_gone {
+            return Verdict::New;
+        }
+        if known.was.contains(&life) {
+            return Verdict::Outdated("an earlier life");
+        }
+        if life.is_before(&present) {
+            return Verdict::Doubtful;
+        }
+        Verdict::New
+    }
+
+    fn update(&mut self, worker: Worker, actions: &mut Vec<Action>) {
+        let before = self.upstream();
+        self.worker = match self.worker.take() {
+            Some(known) => Some(worker.following(known)),
+            None => Some(worker),
+        };
+        if self.upstream() != before {
+            self.tell_upstream(actions, "the upstream changed");
+        }
+    }
+
+    /// A life begins. What ran in the one before has ended, but for orders on their way: under
+    /// the same id the new life takes them too.
+    fn begin(
+        &mut self,
+        worker: Worker,
+        reason: &'static str,
+        now: Duration,
+        actions: &mut Vec<Action>,
+    ) {
+        let known = self.worker.take();
+        let keeps_id = known.as_ref().is_some_and(|known| known.id == worker.id);
+        let crossing = if keeps_id {
+            self.runs.take_unanswered()
+        } else {
+            Vec::new()
+        };
+        self.lose_all(actions, now, "the upstream restarted");
+        self.lease = Lease::new(worker.clock, now);
+        if let Some(born) = worker.born {
+            self.fence = born.max(self.fence + 1);
+        }
+        let mut was = known.as_ref().map(Worker::lives).unwrap_or_default();
+        was.retain(|life| *life != worker.life());
+        self.worker = Some(worker.after(was));
+        self.since = now;
+        self.seen = 0;
+        self.is_known = false;
+        self.health = Health::default();
+        self.offer = None;
+        for (task, run) in crossing {
+            self.cross(task, run, now, actions);
+        }
+        self.tell_upstream(actions, reason);
+    }
+
+    /// An order that may yet reach a new life of the upstream is stopped there. It is over once
+    /// an answer to a poll that carried the new fence does not list it.
+    fn cross(&mut self, task: Task, run: Run, now: Duration, actions: &mut Vec<Action>) {
+        self.runs.add(task.clone(), run.crossing(now));
+        actions.push(Action::Stop(task));
+    }
+
+    /// Whether an answer to a poll is of the present life. An answer that names another one shows
+    /// that the upstream has started again under its id, unless the poll went out before the
+    /// present life was known.
+    pub(super) fn is_present(
+        &mut self,
+        look: &Look,
+        now: Duration,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        let Some(known) = self.worker.as_ref().filter(|known| !known.is_gone) else {
+            return false;
+        };
+        if !known.life().is_other(&look.life) {
+            self.learn_born(look.life.born);
+            return true;
+        }
+        if known.id != look.life.id || look.asked < self.since {
+            actions.push(ignored(&look.life, "an answer of another life"));
+            return false;
+        }
+        let worker = Worker {
+            born: look.life.born,
+            clock: look.clock,
+            sequence: 0,
+            is_leaving: false,
+            is_unreported: true,
+            ..known.clone()
+        };
+        self.begin(worker, "it started again under its id", now, actions);
+        actions.push(Action::Look);
+        false
+    }
+
+    fn learn_born(&mut self, born: Option<u64>) {
+        let (Some(worker), Some(born)) = (&mut self.worker, born) else {
+            return;
+        };
+        worker.born = Some(born);
+        self.fence = self.fence.max(born);
+    }
+
+    /// Whether an answer to an order of `life` is of the present life.
+    pub(super) fn is_of(&self, life: &Life) -> bool {
+        let worker = self.worker.as_ref();
+        worker.is_some_and(|worker| !worker.life().is_other(life))
+    }
+
+    /// The upstream says that it has ended. One that tells when it started may have started
+    /// again since: that one has not, unless it was leaving.
+    pub fn deregister(&mut self, id: &str, now: Duration) -> Vec<Action> {
+        let known = self.worker.as_ref().filter(|worker| &*worker.id == id);
+        match known {
+            Some(worker) if worker.born.is_some() && !worker.is_leaving => {
+                vec![ignored(&worker.life(), "an end without notice")]
+            }
+            Some(worker) => self.gone(&worker.life(), "the upstream ended", now),
+            None => Vec::new(),
+        }
+    }
+
+    /// The upstream is gone: it said so, or another life answers at its address.
+    pub fn gone(&mut self, life: &Life, reason: &'static str, now: Duration) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if !self.is_of(life) {
+            return actions;
+        }
+        self.lose_all(&mut actions, now, reason);
+        if let Some(worker) = &mut self.worker {
+            worker.is_gone = true;
+        }
+        self.is_known = false;
+        self.tell_upstream(&mut actions, reason);
+        actions
+    }
+
+    /// What orders to the upstream carry, so that it does nothing that was ordered from a life of
+    /// it before the present one; 0 if it does not tell when it started.
+    #[must_use]
+    pub const fn fence(&self) -> u64 {
+        self.fence
+    }
+
+    /// The upstream turned away the fence: it has seen a higher one, from an agent that knew a
+    /// life of it with a later start.
+    pub fn fenced(&mut self, life: &Life) -> Vec<Action> {
+        if !self.is_of(life) {
+            return Vec::new();
+        }
+        self.fence = self.fence.saturating_add(FENCE_STEP);
+        let told = Decision::new("fence raised", "", "")
+            .with("upstream", life)
+            .with("fence", self.fence);
+        vec![Action::Tell(told.failed())]
+    }
+}
+
+fn ignored(life: &Life, reason: &'static str) -> Action {
+    Action::Tell(
+        Decision::new("report ignored", "", "")
+            .with("upstream", life)
+            .with("reason", reason),
+    )
+}
--- a/crates/cassiarock-transient/src/host/looks.rs
+++ b/crates/cassiarock-transient/src/host/looks.rs
@@ -21,6 +21,9 @@
     /// What a look at the upstream showed.
     pub fn look(&mut self, look: &Look, now: Duration) -> Vec<Action> {
         let mut actions = Vec::new();
+        if !self.is_present(look, now, &mut actions) {
+            return actions;
+        }
         self.lease.hear(Some(look.clock), now);
         for (number, job, attempt, end) in &look.ended {
             if *number <= self.seen {
@@ -72,17 +75,23 @@
             self.runs
                 .iter()
                 .filter(|(task, run)| {
-                    let is_stopped = run.stopped.is_some_and(|at| at <= look.asked);
+                    let is_void = run.void().is_some_and(|at| at <= look.asked);
                     let is_listed = look.running.iter().any(|(job, attempt)| {
                         *job == task.job && attempt.is_same_start(&task.attempt)
                     });
-                    is_stopped && !is_listed
+                    is_void && !is_listed
                 })
                 .map(|(task, _)| task.clone())
                 .collect();
         for task in void {
-            let is_unrun = self.runs.get(&task).is_some_and(|run| !run.listed);
-            let end = if is_unrun { End::Refused } else { End::Stopped };
+            let Some(run) = self.runs.get(&task) else {
+                continue;
+            };
+            let end = match (run.crossed, run.listed) {
+                (Some(_), _) => End::Lost,
+                (None, false) => End::Refused,
+                (None, true) => End::Stopped,
+            };
             self.end(&task, end, now, actions);
         }
     }
--- a/crates/cassiarock-transient/src/host/mod.rs
+++ b/crates/cassiarock-transient/src/host/mod.rs
@@ -3,6 +3,7 @@
 mod entries;
 mod health;
 mod lease;
+mod lives;
 mod looks;
 mod offer;
 mod orders;
@@ -61,6 +62,10 @@
     health: Health,
     /// The upstream's clock and leases.
     lease: Lease,
+    /// Since when the upstream's present life is known.
+    since: Duration,
+    /// What orders to the upstream carry; it rises from life to life.
+    fence: u64,
     /// Ends of the upstream up to this number have been taken.
     seen: u64,
     /// Whether the upstream has been looked at in its present life. Until then an earlier
@@ -97,10 +102,15 @@
         self.runs.len()
     }
 
-    /// The number of the last end taken, for the next look.
+    /// The number of the last end taken, for the next look. None counts while the upstream does
+    /// not answer: if it starts again under its id, it numbers its ends anew.
     #[must_use]
-    pub const fn seen(&self) -> u64 {
-        self.seen
+    pub fn seen(&self, now: Duration) -> u64 {
+        if self.lease.is_silent(now) {
+            0
+        } else {
+            self.seen
+        }
     }
 
     /// Carries out what is due.
--- a/crates/cassiarock-transient/src/host/orders.rs
+++ b/crates/cassiarock-transient/src/host/orders.rs
@@ -5,7 +5,7 @@
 use super::{Action, Host};
 use crate::message::{Attempt, End, Ending, Order};
 use crate::timing::CONTACT;
-use crate::{Decision, Demand};
+use crate::{Decision, Demand, Life};
 use cassiarock_id::Process;
 use std::time::Duration;
 
@@ -102,7 +102,7 @@
         let Some(worker) = &self.worker else {
             return Some(End::Closed);
         };
-        let is_shut = self.is_closed() || worker.is_leaving || worker.is_gone;
+        let is_shut = self.is_closed() || worker.is_leaving || !worker.is_present();
         if is_shut || !self.is_known || self.lease.is_silent(now) {
             return Some(End::Closed);
         }
@@ -126,15 +126,19 @@
         actions
     }
 
-    /// The upstream's answer to a start.
+    /// The answer of a life of the upstream to a start.
     pub fn started(
         &mut self,
+        life: &Life,
         task: &Task,
         answer: Answer,
         clock: Option<u64>,
         now: Duration,
     ) -> Vec<Action> {
         let mut actions = Vec::new();
+        if !self.is_of(life) {
+            return actions;
+        }
         self.lease.hear(clock, now);
         let Some(run) = self.runs.get_mut(task) else {
             return actions;
@@ -181,9 +185,18 @@
         actions.push(Action::Stop(task.clone()));
     }
 
-    /// The upstream confirmed a stop: the attempt has ended or can never start. If it was
+    /// A life of the upstream confirmed a stop: the attempt has ended or can never start. If it was
     /// never seen to run, a look at once tells which, and its entry need not wait.
-    pub fn stopped(&mut self, task: &Task, clock: Option<u64>, now: Duration) -> Vec<Action> {
+    pub fn stopped(
+        &mut self,
+        life: &Life,
+        task: &Task,
+        clock: Option<u64>,
+        now: Duration,
+    ) -> Vec<Action> {
+        if !self.is_of(life) {
+            return Vec::new();
+        }
         self.lease.hear(clock, now);
         let Some(run) = self.runs.get_mut(task) else {
             return Vec::new();
--- a/crates/cassiarock-transient/src/host/run.rs
+++ b/crates/cassiarock-transient/src/host/run.rs
@@ -1,7 +1,7 @@
 //! The attempts on one upstream.
 
-use crate::Demand;
 use crate::message::{Attempt, End, Start};
+use crate::{Demand, Life};
 use cassiarock_id::{Name, Process};
 use std::collections::BTreeMap;
 use std::fmt;
@@ -84,6 +84,8 @@
 /// What a look at the upstream showed.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Look {
+    /// The life that answered.
+    pub life: Life,
     /// The upstream's clock in milliseconds.
     pub clock: u64,
     /// When the look was asked for, by the agent's clock.
@@ -118,6 +120,8 @@
     pub(super) listed: bool,
     /// When the upstream answered its stop.
     pub(super) stopped: Option<Duration>,
+    /// Since when a new life of the upstream is known that the order may yet reach.
+    pub(super) crossed: Option<Duration>,
 }
 
 impl Run {
@@ -131,8 +135,29 @@
             phase: Phase::Starting,
             listed: false,
             stopped: None,
+            crossed: None,
         }
     }
+
+    /// Whether no answer has shown that it ran: its order may still be carried out.
+    const fn is_unanswered(&self) -> bool {
+        !self.listed && !matches!(self.phase, Phase::Running)
+    }
+
+    /// The same, as what a new life of the upstream may carry out yet.
+    pub(super) fn crossing(self, now: Duration) -> Self {
+        Self {
+            phase: Phase::Stopping(now),
+            stopped: None,
+            crossed: Some(now),
+            ..self
+        }
+    }
+
+    /// Since when its order cannot be carried out any more, if it was not before.
+    pub(super) fn void(&self) -> Option<Duration> {
+        self.stopped.or(self.crossed)
+    }
 }
 
 /// All attempts, with the room that they take.
@@ -166,6 +191,17 @@
         Some(run)
     }
 
+    /// Takes out those whose orders may still be carried out.
+    pub(super) fn take_unanswered(&mut self) -> Vec<(Task, Run)> {
+        let runs = self.runs.iter();
+        let unanswered = runs.filter(|(_, run)| run.is_unanswered());
+        let tasks: Vec<Task> = unanswered.map(|(task, _)| task.clone()).collect();
+        let taken = tasks.into_iter();
+        taken
+            .filter_map(|task| Some((task.clone(), self.remove(&task)?)))
+            .collect()
+    }
+
     pub(super) fn get(&self, task: &Task) -> Option<&Run> {
         self.runs.get(task)
     }
--- a/crates/cassiarock-transient/src/host/upstream.rs
+++ b/crates/cassiarock-transient/src/host/upstream.rs
@@ -1,9 +1,6 @@
-//! The upstream: its lives, its room, and what entries are told of it.
+//! The upstream: its room, and what entries are told of it.
 
-use super::health::Health;
-use super::lease::Lease;
 use super::run::{Run, Task};
-use super::worker::Worker;
 use super::{Action, Host};
 use crate::message::{End, Load, Message, Upstream};
 use crate::{Decision, Demand};
@@ -24,57 +21,6 @@
 const STALLED_PACE: u16 = 400;
 
 impl Host {
-    /// The upstream reports. A report of a life that has been followed by another is old news
-    /// that a broken network had held up.
-    pub fn report(&mut self, worker: Worker, now: Duration) -> Vec<Action> {
-        let mut actions = Vec::new();
-        match &self.worker {
-            Some(known) if known.id == worker.id => {
-                if worker.sequence < known.sequence {
-                    return actions;
-                }
-                let is_same = known.upstream() == worker.upstream();
-                self.worker = Some(worker);
-                if !is_same {
-                    self.tell_upstream(&mut actions, "the upstream changed");
-                }
-            }
-            Some(known) if known.was.contains(&worker.id) => {
-                actions.push(Action::Tell(
-                    Decision::new("report ignored", "", "")
-                        .with("upstream", &worker.id)
-                        .with("reason", "an earlier life"),
-                ));
-            }
-            known => {
-                let was = known.as_ref().map(Worker::lives).unwrap_or_default();
-                self.lose_all(&mut actions, now, "the upstream restarted");
-                self.lease = Lease::new(worker.clock, now);
-                self.worker = Some(worker.after(was));
-                self.seen = 0;
-                self.is_known = false;
-                self.health = Health::default();
-                self.tell_upstream(&mut actions, "a new upstream");
-            }
-        }
-        actions
-    }
-
-    /// The upstream is gone: it said so, or another life answers at its address.
-    pub fn gone(&mut self, id: &str, reason: &'static str, now: Duration) -> Vec<Action> {
-        let mut actions = Vec::new();
-        if self.worker.as_ref().is_none_or(|worker| &*worker.id != id) {
-            return actions;
-        }
-        self.lose_all(&mut actions, now, reason);
-        if let Some(worker) = &mut self.worker {
-            worker.is_gone = true;
-        }
-        self.is_known = false;
-        self.tell_upstream(&mut actions, reason);
-        actions
-    }
-
     /// This agent takes no new work any more.
     pub fn leave(&mut self) -> Vec<Action> {
         let mut actions = Vec::new();
@@ -140,7 +86,7 @@
         let mut told = Decision::new("upstream", "", "").with("reason", reason);
         if let Some(upstream) = &upstream {
             told = told
-                .with("upstream", &upstream.id)
+                .with("upstream", upstream.life())
                 .with("service", &upstream.service)
                 .with("cpu", upstream.capacity.cpu)
                 .with("leaving", upstream.is_leaving);
@@ -163,7 +109,7 @@
     }
 
     pub(super) fn upstream(&self) -> Option<Upstream> {
-        let worker = self.worker.as_ref().filter(|worker| !worker.is_gone)?;
+        let worker = self.worker.as_ref().filter(|worker| worker.is_present())?;
         let mut upstream = worker.upstream();
         upstream.is_leaving |= self.is_closed();
         Some(upstream)
@@ -195,7 +141,7 @@
         self.is_known
             && !self.lease.is_silent(now)
             && !self.is_closed()
-            && worker.is_some_and(|worker| !worker.is_gone && !worker.is_leaving)
+            && worker.is_some_and(|worker| worker.is_present() && !worker.is_leaving)
     }
 
     pub(super) fn load(&self, entry: &Process, now: Duration) -> Load {
--- a/crates/cassiarock-transient/src/message.rs
+++ b/crates/cassiarock-transient/src/message.rs
@@ -1,6 +1,6 @@
 //! What entries and agents tell each other about transient jobs.
 
-use crate::{Demand, evacuation};
+use crate::{Demand, Life, evacuation};
 use cassiarock_id::Name;
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
@@ -153,8 +153,12 @@
 /// What an agent's upstream is.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Upstream {
-    /// Its id; a restarted upstream has another one.
+    /// Its id.
     pub id: Name,
+    /// When it started, in milliseconds since 1970, if it says so: an upstream that starts again
+    /// may keep its id.
+    #[serde(default)]
+    pub born: Option<u64>,
     /// The pool that it belongs to.
     pub service: Name,
     /// All its room.
@@ -165,6 +169,14 @@
     pub is_leaving: bool,
 }
 
+impl Upstream {
+    /// Its life.
+    #[must_use]
+    pub fn life(&self) -> Life {
+        Life::new(self.id.clone()).with_born(self.born)
+    }
+}
+
 /// A message about transient jobs.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Message {
--- a/crates/cassiarock-transient/src/scheduler/link.rs
+++ b/crates/cassiarock-transient/src/scheduler/link.rs
@@ -64,7 +64,7 @@
                 let told = Decision::new("upstream", "", "").with("agent", from);
                 let told = match &upstream {
                     Some(upstream) => told
-                        .with("upstream", &upstream.id)
+                        .with("upstream", upstream.life())
                         .with("leaving", upstream.is_leaving),
                     None => told.with("upstream", "none"),
                 };
--- a/crates/cassiarock-transient/tests/host/lives.rs
+++ b/crates/cassiarock-transient/tests/host/lives.rs
@@ -192,7 +192,7 @@
 fn an_entry_is_not_told_again_that_it_may_place_here_while_its_link_is_to_be_closed() {
     let mut world = World::new();
     world.host.retire(&entry(1), true);
-    let actions = world.host.gone("u-1", "the upstream ended", world.now);
+    let actions = world.host.deregister("u-1", world.now);
     world.take(actions);
     let worker = Worker {
         id: "u-2".into(),
--- a/crates/cassiarock-transient/tests/host/world.rs
+++ b/crates/cassiarock-transient/tests/host/world.rs
@@ -3,7 +3,7 @@
 use cassiarock_id::Process;
 use cassiarock_transient::host::{Action, Answer, Look, Named, Task, Worker};
 use cassiarock_transient::message::{Attempt, End, Ending, Load, Order, Start};
-use cassiarock_transient::{Demand, Host, Message};
+use cassiarock_transient::{Demand, Host, Life, Message};
 use std::time::Duration;
 
 pub const fn ms(millis: u64) -> Duration {
@@ -20,6 +20,8 @@
     pub now: Duration,
     pub starts: Vec<(Task, u64)>,
     pub stops: Vec<Task>,
+    /// How many polls were asked for at once.
+    pub looks: usize,
     pub endings: Vec<(Process, Ending)>,
     pub load: Load,
     /// The upstream's clock is the agent's and this much more.
@@ -34,6 +36,7 @@
             now: ms(1_000),
             starts: Vec::new(),
             stops: Vec::new(),
+            looks: 0,
             endings: Vec::new(),
             load: Load::default(),
             ahead: 500_000,
@@ -49,8 +52,14 @@
     }
 
     pub fn report(&mut self, id: &str, sequence: u64) {
+        self.report_of(&Life::new(id), sequence);
+    }
+
+    /// A report of one life.
+    pub fn report_of(&mut self, life: &Life, sequence: u64) {
         let worker = Worker {
-            id: id.into(),
+            id: life.id.clone(),
+            born: life.born,
             service: "s".into(),
             capacity: Demand::new(10_000, 1_000, 0),
             clock: self.clock(),
@@ -61,6 +70,27 @@
         self.take(actions);
     }
 
+    /// The life of the upstream that the agent knows.
+    pub fn life(&self) -> Life {
+        self.host.worker().map(Worker::life).unwrap_or_default()
+    }
+
+    /// A poll that was sent at `asked` is answered by this life, whose clock is at `clock`.
+    pub fn answered(&mut self, life: &Life, asked: Duration, clock: u64, running: &[(&str, u32)]) {
+        let running = running.iter();
+        let look = Look {
+            life: life.clone(),
+            clock,
+            asked,
+            running: running
+                .map(|(job, attempt)| ((*job).into(), named(*attempt)))
+                .collect(),
+            ended: Vec::new(),
+        };
+        let actions = self.host.look(&look, self.now);
+        self.take(actions);
+    }
+
     pub fn link(&mut self, number: u64) {
         let actions = self.host.link(&entry(number), self.now);
         self.take(actions);
@@ -94,13 +124,15 @@
 
     pub fn answer(&mut self, task: &Task, answer: Answer) {
         let clock = Some(self.clock());
-        let actions = self.host.started(task, answer, clock, self.now);
+        let actions = self
+            .host
+            .started(&self.life(), task, answer, clock, self.now);
         self.take(actions);
     }
 
     pub fn stopped(&mut self, task: &Task) -> Vec<Action> {
         let clock = Some(self.clock());
-        self.host.stopped(task, clock, self.now)
+        self.host.stopped(&self.life(), task, clock, self.now)
     }
 
     /// A look shows these jobs' tasks as running, and these as ended.
@@ -108,6 +140,7 @@
         let renewed = self.host.renew(self.now);
         assert!(renewed.is_none_or(|until| until <= self.clock() + 1_000));
         let look = Look {
+            life: self.life(),
             clock: self.clock(),
             asked: self.now,
             running: running
@@ -126,6 +159,7 @@
     /// A look shows that the task of a job has ended. Gives what the agent does.
     pub fn end_by_look(&mut self, number: u64, job: &str, attempt: u32, end: End) -> Vec<Action> {
         let look = Look {
+            life: self.life(),
             clock: self.clock(),
             asked: self.now,
             running: Vec::new(),
@@ -165,7 +199,8 @@
                     self.endings.extend(endings);
                 }
                 Action::Send(_, Message::AgentBeat { load, .. }) => self.load = load,
-                Action::Send(..) | Action::Look | Action::Tell(_) => {}
+                Action::Look => self.looks += 1,
+                Action::Send(..) | Action::Tell(_) => {}
             }
         }
     }
--- a/crates/cassiarock-transient/tests/scheduler/answers.rs
+++ b/crates/cassiarock-transient/tests/scheduler/answers.rs
@@ -118,6 +118,7 @@
     world.add(large.clone());
     let upstream = cassiarock_transient::message::Upstream {
         id: "u-large".into(),
+        born: None,
         service: "s".into(),
         capacity: cassiarock_transient::Demand::new(20_000, 2_000, 0),
         labels: vec![],
--- a/crates/cassiarock-transient/tests/scheduler/ask.rs
+++ b/crates/cassiarock-transient/tests/scheduler/ask.rs
@@ -76,6 +76,7 @@
     let mut world = World::new(2);
     let other = Upstream {
         id: "u-other".into(),
+        born: None,
         service: "other".into(),
         capacity: ROOM,
         labels: vec![],
--- a/crates/cassiarock-transient/tests/scheduler/world.rs
+++ b/crates/cassiarock-transient/tests/scheduler/world.rs
@@ -71,6 +71,7 @@
         self.scheduler.link(&agent, &DATA_CENTRE.into(), self.now);
         let upstream = Upstream {
             id: format!("u-{}", agent.name).into(),
+            born: None,
             service: "s".into(),
             capacity: ROOM,
             labels: vec![],
--- a/tests/platform/failures.rs
+++ b/tests/platform/failures.rs
@@ -90,6 +90,34 @@
     site.assert_never_twice();
 }
 
+// An upstream restarts under its id, and counts its reports and ends anew. Its agent took all it
+// said for old, and used it no more for as long as the former life had lasted.
+#[tokio::test]
+async fn an_upstream_that_restarted_under_its_id_is_used_again_within_two_seconds() {
+    let mut site = Site::start(1, 1).await;
+    let entry = &site.entries[0];
+    for number in 0..20 {
+        let id = format!("{number:016x}");
+        assert_eq!(
+            submit(entry, &id, &body(8, 20), PATIENCE).await,
+            completed()
+        );
+    }
+    let id = "00000000000000c9";
+    let job = hand_in(entry, id, body(6, 700), PATIENCE);
+    begun(&site, id).await;
+    let witness = site.witness.clone();
+    site.agents[0].revive_under_its_id(witness);
+    let began = Instant::now();
+    assert_eq!(job.await.unwrap(), completed());
+    assert!(
+        began.elapsed() < Duration::from_secs(2),
+        "{:?}",
+        began.elapsed()
+    );
+    site.assert_never_twice();
+}
+
 // Orders are left unanswered and carried out seconds later.
 #[tokio::test]
 async fn orders_that_are_carried_out_late_start_nothing() {
--- a/tests/platform/site.rs
+++ b/tests/platform/site.rs
@@ -355,8 +355,13 @@
 
     /// Another life of its upstream at the same address.
     pub fn revive(&mut self, witness: Witness) {
-        self.upstream = None;
         self.lives += 1;
+        self.revive_under_its_id(witness);
+    }
+
+    /// The same under the id that it had.
+    pub fn revive_under_its_id(&mut self, witness: Witness) {
+        self.upstream = None;
         let name = format!("{}-{}", self.name.replace("agent", "u"), self.lives);
         let reports = SocketAddr::from((self.ip, self.ports.reports()));
         let address = (self.ip, self.upstream_port);
