Give up tasks under which two upstreams have crashed, and tell shrunk room at once

Cause: an attempt that was lost with its upstream was placed again without bound, beside whatever ran on the next one. A task that crashes its upstream took one after the other down for as long as its job lived.

All tasks of a lost upstream are suspects now. A suspect runs next where no other suspect is and least else runs; after the second crash its job is answered failed at once, and known when it is submitted again to the same entry within a minute. Upstreams that are lost within half a second of one another (three, and a tenth of all) have a cause in common and make no suspects, and two losses within that time count once.

Compared: counting to two alone (the isolation left out) leaves suspects of one crash on one upstream; the test of it fails (seen). With no bound, and with losses in common counted, three and one of the tests fail (seen).

Room: what was ordered beyond shrunk room was turned away already; entries heard of it with the next heartbeat, up to 100 ms later, and hear it at once now (two of six new tests fail without, seen).

Left: a queue most of whose tasks crash is not shut as a whole; another entry does not know the crashes under a job that it is handed.

--- a/crates/cassiarock-dispatch/src/agent.rs
+++ b/crates/cassiarock-dispatch/src/agent.rs
@@ -115,9 +115,7 @@
         match input {
             Input::Report(Report::Here(worker)) => self.host.report(worker, now),
             Input::Report(Report::Gone(id)) => self.host.deregister(&id, now),
-            Input::Gone(life) => self
-                .host
-                .gone(&life, "another life of the upstream answers", now),
+            Input::Gone(life) => self.host.replaced(&life, now),
             Input::Fenced(life) => self.host.fenced(&life),
             Input::Link(event) => self.event(event, now),
             Input::Entry(address) => {
--- a/crates/cassiarock-operator/src/why/cause.rs
+++ b/crates/cassiarock-operator/src/why/cause.rs
@@ -49,9 +49,10 @@
             of("on_time")
         ),
         "failed" => format!(
-            "given up at {process} after {} ms: {}; {} of {} tasks not done",
+            "given up at {process} after {} ms: {}{}; {} of {} tasks not done",
             of("age_ms"),
             of("reason"),
+            crashed(line),
             of("not_done"),
             of("tasks")
         ),
@@ -85,6 +86,18 @@
     }
 }
 
+/// The upstreams that one of its tasks has crashed.
+fn crashed(line: &Line) -> String {
+    let crashed = line.field("crashed").unwrap_or_default();
+    if crashed.is_empty() {
+        return crashed;
+    }
+    format!(
+        " (crashed the upstreams of {})",
+        crashed.replace(',', " and ")
+    )
+}
+
 /// What happened to its tasks before, by kind: ends, moves, losses.
 fn led_to(settled: &Line, about: &[&Line]) -> String {
     let mut told = Vec::new();
@@ -98,6 +111,13 @@
                 line.field("ran_ms").unwrap_or_default(),
                 line.field("expected_ms").unwrap_or_default()
             )),
+            "upstream lost" => told.push(format!(
+                "the upstream of {agent} was lost with a task after {} ms (crashes under it: {}; \
+                 others lost with it: {})",
+                line.field("ran_ms").unwrap_or_default(),
+                line.field("crashes").unwrap_or_default(),
+                line.field("lost_together").unwrap_or_default()
+            )),
             "moved" | "placing again" => told.push(format!(
                 "{} from {agent}: {}",
                 line.what,
--- a/crates/cassiarock-transient/src/host/entries.rs
+++ b/crates/cassiarock-transient/src/host/entries.rs
@@ -124,6 +124,15 @@
         }
     }
 
+    /// A heartbeat to each linked entry at once: its room has changed by no task's end.
+    pub(super) fn beat_all(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        let linked = self.owners.iter().filter(|(_, owner)| owner.is_linked);
+        let linked: Vec<Process> = linked.map(|(entry, _)| entry.clone()).collect();
+        for entry in linked {
+            self.beat(&entry, now, actions);
+        }
+    }
+
     pub(super) fn beat(&mut self, entry: &Process, now: Duration, actions: &mut Vec<Action>) {
         actions.push(self.beat_for(entry, now));
         if let Some(owner) = self.owners.get_mut(entry) {
--- a/crates/cassiarock-transient/src/host/lives.rs
+++ b/crates/cassiarock-transient/src/host/lives.rs
@@ -5,6 +5,7 @@
 use super::run::{Look, Run, Task};
 use super::worker::Worker;
 use super::{Action, Host};
+use crate::message::End;
 use crate::{Decision, Life};
 use std::time::Duration;
 
@@ -31,7 +32,7 @@
     pub fn report(&mut self, worker: Worker, now: Duration) -> Vec<Action> {
         let mut actions = Vec::new();
         match self.classify(&worker) {
-            Verdict::Same => self.update(worker, &mut actions),
+            Verdict::Same => self.update(worker, now, &mut actions),
             Verdict::Outdated(reason) => actions.push(ignored(&worker.life(), reason)),
             Verdict::Doubtful => {
                 actions.push(ignored(&worker.life(), "an earlier start"));
@@ -68,7 +69,7 @@
         Verdict::New
     }
 
-    fn update(&mut self, worker: Worker, actions: &mut Vec<Action>) {
+    fn update(&mut self, worker: Worker, now: Duration, actions: &mut Vec<Action>) {
         let before = self.upstream();
         self.worker = match self.worker.take() {
             Some(known) => Some(worker.following(known)),
@@ -76,6 +77,7 @@
         };
         if self.upstream() != before {
             self.tell_upstream(actions, "the upstream changed");
+            self.beat_all(now, actions);
         }
     }
 
@@ -95,7 +97,7 @@
         } else {
             Vec::new()
         };
-        self.lose_all(actions, now, "the upstream restarted");
+        self.lose_all(End::Crashed, "the upstream restarted", now, actions);
         self.lease = Lease::new(worker.clock, now);
         if let Some(born) = worker.born {
             self.fence = born.max(self.fence + 1);
@@ -176,18 +178,31 @@
             Some(worker) if worker.born.is_some() && !worker.is_leaving => {
                 vec![ignored(&worker.life(), "an end without notice")]
             }
-            Some(worker) => self.gone(&worker.life(), "the upstream ended", now),
+            Some(worker) => {
+                let life = worker.life();
+                self.gone(&life, End::Lost, "the upstream ended", now)
+            }
             None => Vec::new(),
         }
     }
 
-    /// The upstream is gone: it said so, or another life answers at its address.
-    pub fn gone(&mut self, life: &Life, reason: &'static str, now: Duration) -> Vec<Action> {
+    /// Another life answers at the upstream's address.
+    pub fn replaced(&mut self, life: &Life, now: Duration) -> Vec<Action> {
+        self.gone(
+            life,
+            End::Crashed,
+            "another life of the upstream answers",
+            now,
+        )
+    }
+
+    /// The upstream is gone.
+    fn gone(&mut self, life: &Life, end: End, reason: &'static str, now: Duration) -> Vec<Action> {
         let mut actions = Vec::new();
         if !self.is_of(life) {
             return actions;
         }
-        self.lose_all(&mut actions, now, reason);
+        self.lose_all(end, reason, now, &mut actions);
         if let Some(worker) = &mut self.worker {
             worker.is_gone = true;
         }
--- a/crates/cassiarock-transient/src/host/looks.rs
+++ b/crates/cassiarock-transient/src/host/looks.rs
@@ -102,7 +102,7 @@
         if self.runs.is_empty() || !self.lease.has_lapsed(now) {
             return;
         }
-        self.lose_all(actions, now, "the upstream does not answer");
+        self.lose_all(End::Crashed, "the upstream does not answer", now, actions);
     }
 
     pub(super) fn end(&mut self, task: &Task, end: End, now: Duration, actions: &mut Vec<Action>) {
--- a/crates/cassiarock-transient/src/host/upstream.rs
+++ b/crates/cassiarock-transient/src/host/upstream.rs
@@ -64,9 +64,10 @@
     /// All attempts have ended with their upstream.
     pub(super) fn lose_all(
         &mut self,
-        actions: &mut Vec<Action>,
-        now: Duration,
+        end: End,
         reason: &'static str,
+        now: Duration,
+        actions: &mut Vec<Action>,
     ) {
         let tasks: Vec<Task> = self.runs.iter().map(|(task, _)| task.clone()).collect();
         if !tasks.is_empty() {
@@ -77,7 +78,7 @@
             actions.push(Action::Tell(told));
         }
         for task in tasks {
-            self.end(&task, End::Lost, now, actions);
+            self.end(&task, end, now, actions);
         }
     }
 
--- a/crates/cassiarock-transient/src/message.rs
+++ b/crates/cassiarock-transient/src/message.rs
@@ -95,8 +95,11 @@
     Failed,
     /// It was stopped.
     Stopped,
-    /// It was broken off, by the upstream's end or a lapsed lease.
+    /// It was broken off: the upstream ended as announced, or its lease lapsed unanswered.
     Lost,
+    /// It was broken off with all that ran beside it: the upstream stopped answering, or started
+    /// again.
+    Crashed,
     /// It never started: no room.
     Full,
     /// It never started: the upstream takes no new work.
@@ -115,7 +118,10 @@
     /// Whether the attempt never ran.
     #[must_use]
     pub const fn is_unrun(self) -> bool {
-        !matches!(self, Self::Done | Self::Failed | Self::Stopped | Self::Lost)
+        !matches!(
+            self,
+            Self::Done | Self::Failed | Self::Stopped | Self::Lost | Self::Crashed
+        )
     }
 }
 
--- a/crates/cassiarock-transient/src/scheduler/choose.rs
+++ b/crates/cassiarock-transient/src/scheduler/choose.rs
@@ -40,12 +40,14 @@
     ) -> Option<Process> {
         let wanted = &work.job.stages[stage];
         let task = &work.tasks[stage][index];
+        let is_suspect = !task.crashed.is_empty();
         let agents = self.agents.iter();
         // Room first: under load most agents have none, and all are asked for each task.
         let fit = agents.filter(|(process, agent)| {
             wanted.demand.fits(agent.free())
                 && is_eligible(work, wanted, agent, now)
                 && has_spread(work, stage, wanted, process)
+                && !(is_suspect && self.suspected.contains(*process))
         });
         let costs = fit.filter_map(|(process, agent)| {
             let pace = agent.pace(self.median);
@@ -65,8 +67,14 @@
                 0.0
             };
             let chance = self.chance.below(CHANCE);
+            // A suspect goes where it puts least at risk, others rather not where one is.
+            let at_risk = if is_suspect {
+                agent.capacity().minus(agent.free()).cpu
+            } else {
+                u64::from(self.suspected.contains(process))
+            };
             Some((
-                avoided,
+                (avoided, at_risk),
                 cost(wanted, agent, pace, chance) - together,
                 process,
             ))
--- a/crates/cassiarock-transient/src/scheduler/mod.rs
+++ b/crates/cassiarock-transient/src/scheduler/mod.rs
@@ -6,6 +6,7 @@
 mod ask;
 mod chance;
 mod choose;
+mod crash;
 mod eject;
 mod expire;
 mod kinds;
@@ -27,6 +28,7 @@
 use agent::Agent;
 use cassiarock_id::{Name, Process};
 use chance::Chance;
+use crash::Crashes;
 use kinds::Kinds;
 use patience::Patience;
 use rank::Rank;
@@ -81,6 +83,10 @@
     version: u64,
     /// The data centres that operators are emptying.
     evacuations: evacuation::State,
+    /// Upstreams that were lost with what ran there.
+    crashes: Crashes,
+    /// Agents where tasks run that may crash upstreams.
+    suspected: BTreeSet<Process>,
     /// Which mechanisms decide.
     switch: Switch,
     chance: Chance,
@@ -194,8 +200,17 @@
             })
         };
         self.reserve.arrive(class.priority, now);
-        let work = Work::new(number, job, class, patience, ratio, now).with_waited(has_waited);
+        let mut work = Work::new(number, job, class, patience, ratio, now).with_waited(has_waited);
+        self.crashes.recall(&mut work, now);
         let mut actions = Vec::new();
+        if let Some(crashed) = work.crashed() {
+            let told = told("failed", &work, now)
+                .with("reason", "a task of it crashes upstreams")
+                .with("crashed", crashed);
+            actions.push(Action::Tell(told.failed()));
+            actions.push(Action::Answer(number, Answer::Failed));
+            return actions;
+        }
         match self.admit(&work, now) {
             Ok(told) => {
                 actions.push(Action::Tell(told));
--- a/crates/cassiarock-transient/src/scheduler/place.rs
+++ b/crates/cassiarock-transient/src/scheduler/place.rs
@@ -1,6 +1,7 @@
 //! Where tasks are placed.
 
 use super::choose::is_eligible;
+use super::crash::suspected;
 use super::work::{Phase, Work, core_millis};
 use super::{Action, Scheduler, told};
 use crate::message::{Order, Start};
@@ -19,6 +20,11 @@
             self.ask_for_room(&BTreeSet::new(), now, actions);
             return;
         }
+        self.suspected = if self.crashes.is_empty(now) {
+            BTreeSet::new()
+        } else {
+            suspected(self.works.values())
+        };
         let mut orders: BTreeMap<Process, Vec<Order>> = BTreeMap::new();
         let numbers: Vec<u64> = self.queue.iter().map(|rank| rank.number).collect();
         let mut behind = 0;
@@ -110,9 +116,14 @@
                 continue;
             }
             let Some(process) = self.choose(work, stage, index, &starts, now) else {
-                full = Some(stage);
+                if work.tasks[stage][index].crashed.is_empty() {
+                    full = Some(stage);
+                }
                 continue;
             };
+            if !work.tasks[stage][index].crashed.is_empty() {
+                self.suspected.insert(process.clone());
+            }
             let demand = work.job.stages[stage].demand;
             if let Some(agent) = self.agents.get_mut(&process) {
                 agent.order(demand);
--- a/crates/cassiarock-transient/src/scheduler/settle.rs
+++ b/crates/cassiarock-transient/src/scheduler/settle.rs
@@ -55,6 +55,7 @@
                     self.requeue(number);
                 }
             }
+            End::Crashed => self.crashed(from, ending, now, actions),
             end => {
                 place_again(task, from, end, now);
                 self.requeue(number);
@@ -62,6 +63,46 @@
         }
     }
 
+    /// An upstream was lost with a task.
+    fn crashed(
+        &mut self,
+        from: &Process,
+        ending: &Ending,
+        now: Duration,
+        actions: &mut Vec<Action>,
+    ) {
+        let number = ending.attempt.number;
+        let is_suspect = self.crashes.lose(from, self.agents.len(), now);
+        if !is_suspect {
+            self.crashes.acquit(self.works.values_mut());
+        }
+        let Some(work) = self.works.get_mut(&number) else {
+            return;
+        };
+        let id = work.job.id.clone();
+        let mut line = told("upstream lost", work, now)
+            .with("agent", from)
+            .with("stage", ending.attempt.stage)
+            .with("index", ending.attempt.index)
+            .with("ran_ms", ending.ran.as_millis())
+            .with("lost_together", !is_suspect);
+        if let Some(task) = work.present(from, &ending.attempt) {
+            place_again(task, from, ending.end, now);
+            if is_suspect {
+                self.crashes.add(&id, &ending.attempt, task, from, now);
+            }
+            line = line.with("crashes", task.crashed.len());
+        }
+        actions.push(Action::Tell(line.failed()));
+        match work.crashed() {
+            Some(_) => {
+                let reason = "a task of it crashes upstreams";
+                self.fail(number, Answer::Failed, reason, now, actions);
+            }
+            None => self.requeue(number),
+        }
+    }
+
     fn done(&mut self, from: &Process, ending: &Ending, now: Duration, actions: &mut Vec<Action>) {
         let agent = self.agents.get(from);
         // An end comes from an agent that is known.
@@ -118,7 +159,8 @@
         let line = told("failed", &work, now).with("reason", reason);
         let line = line
             .with("retries", work.retries)
-            .with("places", places(&work));
+            .with("places", places(&work))
+            .with("crashed", work.crashed().unwrap_or_default());
         actions.push(Action::Tell(line.failed()));
         self.halt_all(&work, actions);
         actions.push(Action::Answer(number, answer));
@@ -164,7 +206,7 @@
         End::Stale => REFUSED,
         _ => Duration::ZERO,
     };
-    if matches!(end, End::Refused | End::Stopped | End::Lost) {
+    if matches!(end, End::Refused | End::Stopped | End::Lost | End::Crashed) {
         avoid(task, from);
     }
     task.attempt += if end == End::Passed { PASSED } else { 1 };
--- a/crates/cassiarock-transient/src/scheduler/work.rs
+++ b/crates/cassiarock-transient/src/scheduler/work.rs
@@ -1,5 +1,6 @@
 //! A job in hand.
 
+use super::crash::{self, Crash};
 use super::rank::Rank;
 use crate::message::Attempt;
 use crate::{Class, Job};
@@ -44,6 +45,8 @@
     pub(super) failures: u32,
     /// Where it has failed or was not taken: the last resort for its next attempt.
     pub(super) avoid: Vec<Process>,
+    /// The agents whose upstreams were lost with it and may have been so through it.
+    pub(super) crashed: Vec<Crash>,
     /// How often it was moved away from an upstream that kept it too long.
     pub(super) moves: u32,
 }
@@ -55,6 +58,7 @@
             attempt: 1,
             failures: 0,
             avoid: Vec::new(),
+            crashed: Vec::new(),
             moves: 0,
         }
     }
@@ -243,6 +247,14 @@
             .sum()
     }
 
+    /// The agents whose upstreams a task of it has crashed, if it is to be given up for that.
+    pub(super) fn crashed(&self) -> Option<String> {
+        let mut tasks = self.tasks.iter().flatten();
+        let culprit = tasks.find(|task| task.crashed.len() >= crash::MOST)?;
+        let agents = culprit.crashed.iter().map(|crash| crash.agent.to_string());
+        Some(agents.collect::<Vec<_>>().join(","))
+    }
+
     /// The task that `attempt` is an attempt at, if it is the present one and at `agent`.
     pub(super) fn present(&mut self, agent: &Process, attempt: &Attempt) -> Option<&mut Task> {
         let stage = self.tasks.get_mut(attempt.stage as usize)?;
--- a/crates/cassiarock-transient/tests/host/main.rs
+++ b/crates/cassiarock-transient/tests/host/main.rs
@@ -6,4 +6,5 @@
 mod lives;
 mod orders;
 mod room;
+mod shrink;
 mod world;
--- a/crates/cassiarock-transient/tests/host/world.rs
+++ b/crates/cassiarock-transient/tests/host/world.rs
@@ -55,6 +55,18 @@
         self.report_of(&Life::new(id), sequence);
     }
 
+    /// The upstream reports that it has this much room from now on.
+    pub fn resize(&mut self, cpu: u64) {
+        let known = self.host.worker().cloned().unwrap_or_default();
+        let worker = Worker {
+            capacity: Demand::new(cpu, 1_000, 0),
+            sequence: known.sequence + 1,
+            ..known
+        };
+        let actions = self.host.report(worker, self.now);
+        self.take(actions);
+    }
+
     /// A report of one life.
     pub fn report_of(&mut self, life: &Life, sequence: u64) {
         let worker = Worker {
--- /dev/null
+++ b/crates/cassiarock-transient/tests/scheduler/crashes.rs
@@ -0,0 +1,156 @@
+//! Tasks that crash the upstreams that run them.
+
+use crate::world::{ROOM, World, agent, ms};
+use cassiarock_id::Process;
+use cassiarock_transient::message::{End, Ending, Load, Message};
+use cassiarock_transient::scheduler::Answer;
+use std::collections::BTreeSet;
+
+/// The upstream of an agent crashes, and is back at once with all its room.
+fn crash(world: &mut World, agent: &Process) {
+    let (lost, kept): (Vec<_>, Vec<_>) = world
+        .placed
+        .drain(..)
+        .partition(|task| task.agent == *agent);
+    world.placed = kept;
+    let endings = lost.iter().map(|task| Ending {
+        attempt: task.attempt,
+        end: End::Crashed,
+        ran: ms(10),
+    });
+    let message = Message::Ended {
+        clock: u64::try_from(world.now.as_millis()).unwrap(),
+        endings: endings.collect(),
+        load: Load {
+            seen: u64::MAX,
+            free: ROOM,
+            pace: 100,
+            ..Load::default()
+        },
+    };
+    world.tell(agent, message);
+    world.poll();
+}
+
+fn place_of(world: &World, number: u64) -> Option<Process> {
+    let mut placed = world.placed.iter();
+    let found = placed.find(|task| task.attempt.number == number);
+    found.map(|task| task.agent.clone())
+}
+
+// A task crashed each upstream that started it. It was placed again for as long as its job lived
+// and took one upstream after the other down, each with the ten tasks beside it.
+#[test]
+fn a_task_under_which_two_upstreams_have_crashed_is_given_up() {
+    let mut world = World::new(6);
+    world.submit(1, 1, 400, 9_000);
+    let mut crashed = Vec::new();
+    while let Some(agent) = place_of(&world, 1) {
+        world.pass(800);
+        crash(&mut world, &agent);
+        crashed.push(agent);
+        assert!(crashed.len() <= 2, "{crashed:?}");
+    }
+    assert_eq!(world.answer(1), Some(Answer::Failed));
+}
+
+// The ten tasks that ran beside it were suspects as well. Put together on one upstream again, all
+// of them would have been given up with its next crash.
+#[test]
+fn no_two_suspects_of_a_crash_run_on_one_upstream_and_the_innocent_ones_end() {
+    let mut world = World::new(12);
+    let victim = agent(0);
+    for number in 1..=100 {
+        world.submit(number, 1, 400, 9_000);
+    }
+    let suspects: BTreeSet<u64> = world
+        .placed
+        .iter()
+        .filter(|task| task.agent == victim)
+        .map(|task| task.attempt.number)
+        .collect();
+    assert!(suspects.len() > 3, "{suspects:?}");
+    let culprit = *suspects.first().unwrap();
+    for task in world.placed.clone() {
+        if task.agent != victim {
+            world.end(task.attempt, End::Done);
+        }
+    }
+    crash(&mut world, &victim);
+    world.pass(600);
+    let places: Vec<Process> = suspects
+        .iter()
+        .filter_map(|of| place_of(&world, *of))
+        .collect();
+    let distinct: BTreeSet<&Process> = places.iter().collect();
+    assert_eq!(
+        (places.len(), distinct.len()),
+        (suspects.len(), suspects.len())
+    );
+    let second = place_of(&world, culprit).unwrap();
+    crash(&mut world, &second);
+    assert_eq!(world.answer(culprit), Some(Answer::Failed));
+    for task in world.placed.clone() {
+        world.end(task.attempt, End::Done);
+    }
+    for innocent in suspects.iter().filter(|number| **number != culprit) {
+        assert_eq!(
+            world.answer(*innocent),
+            Some(Answer::Completed),
+            "{innocent}"
+        );
+    }
+}
+
+// A rack lost its power, came back and lost it again. Everything that had run there twice was
+// taken for what had crashed it.
+#[test]
+fn upstreams_that_are_lost_at_one_moment_make_no_task_a_suspect() {
+    let mut world = World::new(12);
+    world.submit(1, 60, 400, 9_000);
+    for _ in 0..3 {
+        let rack: BTreeSet<Process> = (0..4).map(agent).collect();
+        for lost in &rack {
+            crash(&mut world, lost);
+        }
+        world.pass(600);
+    }
+    assert_eq!(world.answer(1), None);
+    for task in world.placed.clone() {
+        world.end(task.attempt, End::Done);
+    }
+    assert_eq!(world.answer(1), Some(Answer::Completed));
+}
+
+// The caller of a job that crashed two upstreams had not heard the answer and sent it again. It
+// began to crash upstreams anew.
+#[test]
+fn a_job_that_comes_again_is_known_by_its_crashes() {
+    let mut world = World::new(6);
+    world.submit(1, 1, 400, 9_000);
+    for _ in 0..2 {
+        let agent = place_of(&world, 1).unwrap();
+        world.pass(800);
+        crash(&mut world, &agent);
+    }
+    let job = crate::world::job(1, 1, 400);
+    world.submit_job(2, job, 9_000);
+    assert_eq!(world.answer(2), Some(Answer::Failed));
+    assert!(world.placed.is_empty());
+}
+
+// A job kept its suspect waiting where every upstream had one, and its other tasks with it.
+#[test]
+fn a_suspect_that_has_to_wait_holds_no_other_task_up() {
+    let mut world = World::new(2);
+    world.submit(1, 3, 400, 9_000);
+    let first = place_of(&world, 1).unwrap();
+    crash(&mut world, &first);
+    world.pass(50);
+    let places: Vec<Process> = world.placed.iter().map(|task| task.agent.clone()).collect();
+    let distinct: BTreeSet<&Process> = places.iter().collect();
+    assert_eq!(places.len(), distinct.len(), "one suspect an upstream");
+    world.submit(2, 4, 400, 9_000);
+    let placed = world.placed.iter().filter(|task| task.attempt.number == 2);
+    assert_eq!(placed.count(), 4);
+}
--- a/crates/cassiarock-transient/tests/scheduler/main.rs
+++ b/crates/cassiarock-transient/tests/scheduler/main.rs
@@ -5,6 +5,7 @@
 mod answers;
 mod ask;
 mod burst;
+mod crashes;
 mod losses;
 mod order;
 mod reserve;
