Let suspects of a crash share an upstream where each has one

Seen once, in the whole tests on a busy machine: the test that an upstream that restarted under its id is used again within two seconds took 2.8 s. Cause: it has one upstream, and the six tasks lost with it ran there one after the other, as no two suspects were put together. On a small system, or after the loss of several upstreams, that makes the innocent ones late.

A suspect goes first where no other is, then where least else runs, and waits for none of it.

--- a/crates/cassiarock-transient/src/scheduler/choose.rs
+++ b/crates/cassiarock-transient/src/scheduler/choose.rs
@@ -47,7 +47,6 @@
             wanted.demand.fits(agent.free())
                 && is_eligible(work, wanted, agent, now)
                 && has_spread(work, stage, wanted, process)
-                && !(is_suspect && self.suspected.contains(*process))
         });
         let costs = fit.filter_map(|(process, agent)| {
             let pace = agent.pace(self.median);
@@ -67,17 +66,16 @@
                 0.0
             };
             let chance = self.chance.below(CHANCE);
-            // A suspect goes where it puts least at risk, others rather not where one is.
-            let at_risk = if is_suspect {
-                agent.capacity().minus(agent.free()).cpu
+            // A suspect goes where no other is and where it puts least at risk; others rather
+            // not where one is.
+            let has_suspect = self.suspected.contains(process);
+            let order = if is_suspect {
+                let at_risk = agent.capacity().minus(agent.free()).cpu;
+                (has_suspect, avoided, at_risk)
             } else {
-                u64::from(self.suspected.contains(process))
+                (avoided, has_suspect, 0)
             };
-            Some((
-                (avoided, at_risk),
-                cost(wanted, agent, pace, chance) - together,
-                process,
-            ))
+            Some((order, cost(wanted, agent, pace, chance) - together, process))
         });
         let best = costs.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
         best.map(|(_, _, process)| process.clone())
--- a/crates/cassiarock-transient/src/scheduler/place.rs
+++ b/crates/cassiarock-transient/src/scheduler/place.rs
@@ -116,9 +116,7 @@
                 continue;
             }
             let Some(process) = self.choose(work, stage, index, &starts, now) else {
-                if work.tasks[stage][index].crashed.is_empty() {
-                    full = Some(stage);
-                }
+                full = Some(stage);
                 continue;
             };
             if !work.tasks[stage][index].crashed.is_empty() {
