Pass the directory of entries on over links, so that an announcement costs each agent no read

Cause: each agent followed the topic on which entries announce themselves. Renewals each ten minutes did the same for ever.

Entries alone follow the topic, with a quarter of a second between two reads that found something, so that a herd of starts is read a few times. What changes goes to the agents over the links that they have, as updates between two offsets; one that finds a gap asks for all of it, and asks again until it has it. An agent reads the directory once at its start, and when it has had no link for long. Renewals have a topic of their own that nobody follows.

Ruled out: longer pauses alone, as reads would still be entries times agents; a few readers elected among entries, as entries know no liveness of each other and the rest would hear late when those are lost together.

The test that an agent dials no entry whose record was cleared lets the entry, not the agent, reach the store, as agents follow it no more; it asks for the same. Updates in any pieces and order are played against the topic itself by proptest.

--- a/crates/cassiarock-dispatch/src/agent.rs
+++ b/crates/cassiarock-dispatch/src/agent.rs
@@ -8,9 +8,10 @@
 use cassiarock_id::Process;
 use cassiarock_peer::{Dialer, Event, Identity, Key, Links};
 use cassiarock_process::{Clock, Status};
+use cassiarock_transient::directory::Taken;
 use cassiarock_transient::host::{Action, Answer, Look, Task};
 use cassiarock_transient::roster::{Roster, Step};
-use cassiarock_transient::{Host, Life, Message, evacuation};
+use cassiarock_transient::{Host, Life, Message, directory, evacuation};
 use cassiarock_wire::{Frame, Hello};
 use kameo::Actor;
 use kameo::message::{Context, Message as Handle};
@@ -20,6 +21,9 @@
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, watch};
 
+/// An entry that was asked for the directory has answered within this time.
+const ASK_AGAIN: Duration = Duration::from_millis(300);
+
 /// What a look asks for.
 #[derive(Clone, Debug)]
 pub(crate) struct Glance {
@@ -55,8 +59,8 @@
     Link(Event),
     /// An entry takes links there.
     Entry(SocketAddr),
-    /// The entry there has been gone for long.
-    EntryGone(SocketAddr),
+    /// What the directory of entries holds.
+    Directory(directory::Update),
     /// A life of the upstream answered a start.
     Started(Life, Task, Answer, Option<u64>),
     /// A life of the upstream answered a stop.
@@ -89,6 +93,12 @@
     pub(crate) events: mpsc::Sender<Event>,
     pub(crate) orders: Orders,
     pub(crate) status: watch::Sender<Status>,
+    /// Where entries take links, as they have announced.
+    pub(crate) directory: directory::State,
+    /// The entry that said last that it knows more of the directory, and up to where.
+    pub(crate) ahead: Option<(Process, u64)>,
+    /// When an entry was last asked for the whole directory.
+    pub(crate) asked: Option<Duration>,
     /// Which data centres operators are emptying, as entries say.
     pub(crate) evacuations: evacuation::State,
 }
@@ -104,6 +114,7 @@
         }
         let actions = self.host.poll(now);
         self.carry_out(actions);
+        self.ask_directory(now);
         self.keep_links(now);
         self.report();
         Ok(self.host.wake(now).saturating_sub(now))
@@ -119,16 +130,11 @@
             Input::Fenced(life) => self.host.fenced(&life),
             Input::Link(event) => self.event(event, now),
             Input::Entry(address) => {
-                self.roster.tell(address);
-                if let Some(dialer) = self.dialers.get(&address) {
-                    dialer.nudge();
-                }
+                self.meet(address);
                 Vec::new()
             }
-            Input::EntryGone(address) => {
-                if let Some(step) = self.roster.forget(address) {
-                    self.step(step);
-                }
+            Input::Directory(update) => {
+                self.direct(&update);
                 Vec::new()
             }
             Input::Started(life, task, answer, clock) => {
@@ -205,11 +211,60 @@
                 }
                 Vec::new()
             }
+            Message::Directory(update) => {
+                if self.direct(&update) == Taken::Gap {
+                    self.ahead = Some((peer.process.clone(), update.next));
+                }
+                Vec::new()
+            }
             Message::Evacuations(state) => self.evacuate(&state, &peer.process),
             message => self.host.message(&peer.process, message, now),
         }
     }
 
+    /// Takes what has changed in the directory of entries.
+    fn direct(&mut self, update: &directory::Update) -> Taken {
+        let taken = self.directory.take(update);
+        if let Taken::Changed { added, removed } = &taken {
+            log::info!(added = added.len(), removed = removed.len(), offset = update.next; "directory of entries");
+            // Each present one, known or not: it may have started again.
+            let present = update
+                .present
+                .iter()
+                .filter_map(|address| address.parse().ok());
+            present.for_each(|address| self.meet(address));
+            let gone = removed.iter().filter_map(|address| address.parse().ok());
+            let steps: Vec<Step> = gone.filter_map(|at| self.roster.forget(at)).collect();
+            steps.into_iter().for_each(|step| self.step(step));
+        }
+        taken
+    }
+
+    /// Asks the entry that knows more than this agent for the whole directory, again if no answer
+    /// comes. Once its link is gone, another one tells with its own link how far it knows.
+    fn ask_directory(&mut self, now: Duration) {
+        let Some((entry, next)) = &self.ahead else {
+            return;
+        };
+        if *next <= self.directory.next() {
+            self.ahead = None;
+            return;
+        }
+        if self.asked.is_some_and(|at| now < at + ASK_AGAIN) {
+            return;
+        }
+        self.asked = Some(now);
+        send(&self.links, entry, Message::AskDirectory);
+    }
+
+    /// An entry takes links there, perhaps since a moment.
+    fn meet(&mut self, address: SocketAddr) {
+        self.roster.tell(address);
+        if let Some(dialer) = self.dialers.get(&address) {
+            dialer.nudge();
+        }
+    }
+
     fn evacuate(&mut self, state: &evacuation::State, from: &Process) -> Vec<Action> {
         if self.evacuations.adopt(state).is_none() {
             return Vec::new();
--- a/crates/cassiarock-dispatch/src/directory.rs
+++ b/crates/cassiarock-dispatch/src/directory.rs
@@ -4,23 +4,31 @@
 use crate::follow::{Feed, News, follow};
 use cassiarock_adapter::store::{Entry, Part, keyed};
 use cassiarock_adapter::{Error, Store};
-use cassiarock_id::{Process, Wall};
+use cassiarock_id::{Name, Process, Wall};
 use cassiarock_platform::follow::Backoff;
+use cassiarock_process::Status;
+use cassiarock_transient::directory::{Gathering, Update};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
-/// Each entry has one record, by its address: its process and when it said so.
+/// Each entry has one record, by its address: its process and when it started.
 const TOPIC: &str = "keyed.entries";
 
+/// When each entry last said that it is still there, by its address. Nobody follows this topic:
+/// a renewal changes nothing for those that know the entry.
+const RENEWED: Part<'static> = Part {
+    topic: "keyed.renewed",
+    part: 0,
+};
+
 const PART: Part<'static> = Part {
     topic: TOPIC,
     part: 0,
 };
 
-/// How often an entry says that it is still there. Each time wakes the waiting read of every
-/// agent: 29 entries and 2,900 agents make 140 reads a second of it, with a store that takes
-/// some thousands.
+/// How often an entry says that it is still there.
 const RENEWAL: Duration = Duration::from_secs(600);
 
 /// An entry that has not said so for this long, three renewals, has been replaced. The clocks
@@ -33,8 +41,9 @@
 /// and agents dial every address on record, so that in the end they would have no dial left
 /// for those that live.
 pub(crate) async fn announce(store: Store, address: SocketAddr, process: Process) {
+    put(&store, PART, address, &process).await;
     loop {
-        put(&store, address, &process).await;
+        put(&store, RENEWED, address, &process).await;
         // What is left is found at the next renewal, of any entry.
         if let Err(error) = clear(&store).await {
             log::warn!("clear the directory of entries: {error}");
@@ -43,15 +52,15 @@
     }
 }
 
-/// Announces an entry, trying until the store takes it.
-async fn put(store: &Store, address: SocketAddr, process: &Process) {
+/// Puts the record of an entry, trying until the store takes it.
+async fn put(store: &Store, part: Part<'_>, address: SocketAddr, process: &Process) {
     let mut backoff = Backoff::default();
     loop {
         let value = format!("{process} {}", Wall::now().as_millis());
         let record = keyed(&address.to_string(), value.as_bytes());
-        match store.append(PART, &record, None).await {
+        match store.append(part, &record, None).await {
             Ok(offset) => {
-                log::info!(address:% = address, offset = offset; "announced");
+                log::info!(address:% = address, topic = part.topic, offset = offset; "announced");
                 return;
             }
             // A second record of the same key does no harm.
@@ -67,9 +76,15 @@
 /// written since the records were read: an order that the store carries out seconds late
 /// cannot delete the record of an entry that has come back at that address.
 async fn clear(store: &Store) -> Result<(), Error> {
+    let (renewed, _) = store.newest(RENEWED).await?;
+    let renewed: HashMap<&str, &Entry> = renewed.iter().map(|at| (&*at.key, at)).collect();
     let (entries, mut end) = store.newest(PART).await?;
     let now = Wall::now();
-    for entry in entries.iter().filter(|entry| is_gone(entry, now)) {
+    let is_gone = |entry: &&Entry| {
+        let renewed = renewed.get(&*entry.key);
+        is_old(entry, now) && renewed.is_none_or(|renewed| is_old(renewed, now))
+    };
+    for entry in entries.iter().filter(is_gone) {
         match store.append(PART, &keyed(&entry.key, b""), Some(end)).await {
             Ok(offset) => {
                 end = offset + 1;
@@ -82,45 +97,77 @@
     Ok(())
 }
 
-/// Whether the entry has not renewed its record for too long. A record of another writer says
-/// no time, and stays.
-fn is_gone(entry: &Entry, now: Wall) -> bool {
+/// Whether the record was written too long ago. One of another writer says no time, and stays.
+fn is_old(entry: &Entry, now: Wall) -> bool {
     let value = std::str::from_utf8(&entry.value).unwrap_or_default();
     let renewed = value.rsplit([' ', '#']).next();
     let renewed = renewed.and_then(|millis| millis.parse().ok());
     renewed.is_some_and(|millis| now.since(Wall::from_millis(millis)) > GONE)
 }
 
-/// Records of 60 bytes, each of which counts: one that drops a key ends the dials to it.
+/// Records of 60 bytes, each of which counts: one that drops a key ends the dials to it. Entries
+/// that start together are read together.
 const FEED: Feed = Feed {
     topic: TOPIC,
     read_kb: 1024,
     skips: false,
+    pause: Duration::from_millis(250),
 };
 
-/// Tells which addresses of entries come and go, for ever. A record that cannot be read names
-/// none.
-pub(crate) async fn addresses(store: Store, found: mpsc::Sender<Input>) {
-    let tell = |key: &str, value: &[u8]| {
-        let Ok(address) = key.parse() else {
-            return;
-        };
-        let input = if value.is_empty() {
-            Input::EntryGone(address)
-        } else {
-            Input::Entry(address)
-        };
-        if found.try_send(input).is_err() {
-            log::warn!(address = key; "entry left out: too many at once");
+/// The pause before an agent without any link reads the directory again.
+const UNLINKED: Duration = Duration::from_secs(5);
+
+/// The pause before an agent that knows no entry at all reads the directory again.
+const UNKNOWN: Duration = Duration::from_millis(250);
+
+/// Gives what changes in the directory, for ever: to an entry, which passes it on.
+pub(crate) async fn updates(store: Store, found: mpsc::UnboundedSender<Update>) {
+    let mut gathering = Gathering::default();
+    let tell = |update| {
+        if found.send(update).is_err() {
+            log::debug!("directory of entries: the process is ending");
         }
     };
     follow(store, FEED, |news| match news {
-        News::Newest(entries, _) => {
-            for entry in entries {
-                tell(&entry.key, &entry.value);
-            }
+        News::Newest(entries, end) => {
+            let addresses = entries.iter().map(|entry| Name::from(&*entry.key));
+            tell(Update::all(end, addresses));
         }
-        News::Record(_, key, value) => tell(key, value),
+        News::Record(offset, key, value) => gathering.add(offset, key.into(), !value.is_empty()),
+        News::Read => gathering.take().into_iter().for_each(&tell),
     })
     .await;
 }
+
+/// Reads the directory for an agent, at its start and whenever it has had no link for long. What
+/// changes later comes over its links.
+pub(crate) async fn bootstrap(
+    store: Store,
+    found: mpsc::Sender<Input>,
+    mut statuses: watch::Receiver<Status>,
+) {
+    let mut backoff = Backoff::default();
+    loop {
+        let pause = match store.newest(PART).await {
+            Ok((entries, end)) => {
+                backoff.succeed();
+                let addresses = entries.iter().map(|entry| Name::from(&*entry.key));
+                let update = Update::all(end, addresses);
+                let is_empty = update.present.is_empty();
+                if found.send(Input::Directory(update)).await.is_err() {
+                    return;
+                }
+                if is_empty { UNKNOWN } else { UNLINKED }
+            }
+            Err(error) => {
+                log::warn!(dependency = "store", topic = TOPIC; "lost: {error}");
+                backoff.fail(rand::random())
+            }
+        };
+        // Spread, as all agents lose their links at once with a data centre's network.
+        tokio::time::sleep(pause.mul_f64(0.5 + rand::random::<f64>())).await;
+        if statuses.wait_for(|status| status.links == 0).await.is_err() {
+            return;
+        }
+    }
+}
--- a/crates/cassiarock-dispatch/src/entry.rs
+++ b/crates/cassiarock-dispatch/src/entry.rs
@@ -9,9 +9,10 @@
 use cassiarock_id::{Name, Process, Wall};
 use cassiarock_peer::{Event, Links};
 use cassiarock_process::{Clock, Evacuation, Status};
+use cassiarock_transient::directory::Taken;
 use cassiarock_transient::lag::Lag;
 use cassiarock_transient::scheduler::{Action, Answer, Stage};
-use cassiarock_transient::{Message, Scheduler, Table, evacuation};
+use cassiarock_transient::{Message, Scheduler, Table, directory, evacuation};
 use cassiarock_wire::{Frame, Hello, Role};
 use kameo::Actor;
 use kameo::message::{Context, Message as Handle};
@@ -36,6 +37,8 @@
     Configuration(Name),
     /// The data centres to empty, from the store.
     Evacuations(evacuation::State),
+    /// What has changed in the directory of entries, from the store.
+    Directory(directory::Update),
     /// What is on record of callers; asks for what this entry knows.
     Learned(Record, oneshot::Sender<Record>),
     /// Take no new jobs.
@@ -62,6 +65,8 @@
     pub(crate) status: watch::Sender<Status>,
     /// Where other entries take links, as they said.
     pub(crate) entries: BTreeSet<Name>,
+    /// Where entries take links, as they have announced.
+    pub(crate) directory: directory::State,
     pub(crate) beat: Duration,
     /// Since when data centres are known to be emptied.
     pub(crate) evacuated: BTreeMap<Name, Wall>,
@@ -129,6 +134,10 @@
                 self.evacuate(&state, "the store");
                 Vec::new()
             }
+            Input::Directory(update) => {
+                self.direct(&update);
+                Vec::new()
+            }
             Input::Learned(known, reply) => {
                 // Who asks may have ended.
                 let _ = reply.send(self.learned(&known));
@@ -214,6 +223,8 @@
                     Role::Agent => {
                         self.scheduler.link(&peer.process, &peer.data_centre, now);
                         self.tell_entries(&peer.process);
+                        let version = Message::Directory(self.directory.version());
+                        send(&self.links, &peer.process, version);
                     }
                     Role::Entry => self.meet(&peer),
                 }
@@ -259,6 +270,11 @@
                 }
                 Vec::new()
             }
+            (Role::Agent, Message::AskDirectory) => {
+                let all = Message::Directory(self.directory.all());
+                send(&self.links, &peer.process, all);
+                Vec::new()
+            }
             (Role::Entry, Message::Evacuations(state)) => {
                 self.evacuate(&state, "another entry");
                 Vec::new()
@@ -303,6 +319,24 @@
         }
     }
 
+    /// Takes what has changed in the directory of entries and passes it on to agents.
+    fn direct(&mut self, update: &directory::Update) {
+        let taken = self.directory.take(update);
+        let Taken::Changed { added, removed } = taken else {
+            return;
+        };
+        log::info!(added = added.len(), removed = removed.len(), offset = update.next; "directory of entries");
+        // An agent that lacks what came before asks for all of it.
+        let news = if update.since == 0 {
+            self.directory.version()
+        } else {
+            update.clone()
+        };
+        for agent in self.scheduler.linked() {
+            send(&self.links, agent, Message::Directory(news.clone()));
+        }
+    }
+
     /// Sends the configuration in force to another entry.
     fn pass_on(&mut self, to: &Process) {
         match self.configuration.as_mut().map(Configuration::message) {
--- a/crates/cassiarock-dispatch/src/follow.rs
+++ b/crates/cassiarock-dispatch/src/follow.rs
@@ -18,6 +18,9 @@
     /// Whether records that newer ones of their key have replaced are left out where it can be
     /// seen that there are such. A reader that has to learn of dropped keys reads them all.
     pub(crate) skips: bool,
+    /// The least pause between two reads that found something: what comes meanwhile is read at
+    /// once.
+    pub(crate) pause: Duration,
 }
 
 /// What a topic shows.
@@ -28,6 +31,8 @@
     Newest(&'a [Entry], u64),
     /// The record at this offset: its key and its value, which is empty if it drops the key.
     Record(u64, &'a str, &'a [u8]),
+    /// All records of one read have been shown.
+    Read,
 }
 
 /// Gives the topic's newest records and all later ones to `take`, for ever. The store may
@@ -74,6 +79,7 @@
         topic,
         read_kb,
         skips,
+        pause,
     } = feed;
     let of = Part { topic, part: 0 };
     let Some(next) = next else {
@@ -90,6 +96,10 @@
                     take(News::Record(offset, key, value));
                 }
             }
+            take(News::Read);
+            if !batch.records.is_empty() {
+                tokio::time::sleep(pause).await;
+            }
             let read = next + batch.records.len() as u64;
             let is_behind = skips && !batch.records.is_empty() && batch.end > read;
             Ok((!is_behind).then_some(read))
--- a/crates/cassiarock-dispatch/src/operator.rs
+++ b/crates/cassiarock-dispatch/src/operator.rs
@@ -7,6 +7,7 @@
 use cassiarock_id::Name;
 use cassiarock_transient::evacuation;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::sync::{mpsc, watch};
 
 /// A configuration of 1,700 routes is some 250 KB, a second of a link of 2 Mbit/s. Read one at
@@ -15,6 +16,7 @@
     topic: TOPIC,
     read_kb: 1,
     skips: true,
+    pause: Duration::ZERO,
 };
 
 /// All that operators order, as far as it has been read.
@@ -44,6 +46,7 @@
                 Some(Order::Restore(place)) => self.evacuations.fold(offset, place, false),
                 None => {}
             },
+            News::Read => {}
         }
     }
 }
--- a/crates/cassiarock-dispatch/src/run/agent.rs
+++ b/crates/cassiarock-dispatch/src/run/agent.rs
@@ -9,6 +9,7 @@
 use cassiarock_id::{Process, Wall};
 use cassiarock_peer::{Event, Identity, Key, Links};
 use cassiarock_process::{BACKLOG, Clock, Parts, Pump, Report, Stage, Status, forward, until};
+use cassiarock_transient::directory::State;
 use cassiarock_transient::roster::Roster;
 use cassiarock_transient::{Host, evacuation};
 use cassiarock_wire::Role;
@@ -90,7 +91,7 @@
         );
         parts.spawn_vital(
             "the directory of entries",
-            directory::addresses(store, inputs.clone()),
+            directory::bootstrap(store, inputs.clone(), statuses.clone()),
         );
         parts.spawn_vital(
             "the server for reports",
@@ -130,6 +131,9 @@
         events,
         orders,
         status,
+        directory: State::default(),
+        ahead: None,
+        asked: None,
         evacuations: evacuation::State::default(),
     }
 }
--- a/crates/cassiarock-dispatch/src/run/entry.rs
+++ b/crates/cassiarock-dispatch/src/run/entry.rs
@@ -4,7 +4,7 @@
 use crate::entry::{Batch, Entry, Input};
 use crate::reload::reload;
 use crate::{Error, directory, learned, operator};
-use cassiarock_adapter::callers::{self, Call, Door};
+use cassiarock_adapter::callers::{self, Door};
 use cassiarock_adapter::{Settings, Store};
 use cassiarock_caller::Limit;
 use cassiarock_id::{Process, Wall};
@@ -12,6 +12,7 @@
 use cassiarock_process::{
     BACKLOG, Clock, Fault, Parts, Pump, Report, Stage, Status, forward, until,
 };
+use cassiarock_transient::directory::State;
 use cassiarock_transient::lag::Lag;
 use cassiarock_transient::{Scheduler, Table};
 use cassiarock_wire::Role;
@@ -110,7 +111,7 @@
             links.run(identity.clone(), key, events.clone()),
         );
         parts.spawn("news of links", forward(seen, inputs.clone(), Input::Link));
-        parts.spawn("calls", pass_on(asking, inputs.clone()));
+        parts.spawn("calls", pass_on(asking, inputs.clone(), Input::Call));
         for seed in &settings.seeds {
             // Its receiver is held by the dialling task.
             let _ = seeds.try_send(*seed);
@@ -120,6 +121,15 @@
             reload(file, settings.clone(), seeds),
         );
         parts.spawn("links to entries", dial(seeded, identity, events));
+        let (changes, changed) = mpsc::unbounded_channel();
+        parts.spawn_vital(
+            "the directory of entries",
+            directory::updates(store.clone(), changes),
+        );
+        parts.spawn(
+            "changes of the directory",
+            pass_on(changed, inputs.clone(), Input::Directory),
+        );
         parts.spawn(
             "the announcement",
             directory::announce(store.clone(), settings.peers, process),
@@ -187,14 +197,20 @@
         table,
         status,
         entries: BTreeSet::new(),
+        directory: State::default(),
         beat: Duration::ZERO,
         evacuated: BTreeMap::new(),
     }
 }
 
-async fn pass_on(mut calls: mpsc::UnboundedReceiver<Call>, inputs: mpsc::Sender<Input>) {
-    while let Some(call) = calls.recv().await {
-        if inputs.send(Input::Call(call)).await.is_err() {
+/// Hands over what comes from where its amount is bounded.
+async fn pass_on<T>(
+    mut from: mpsc::UnboundedReceiver<T>,
+    inputs: mpsc::Sender<Input>,
+    wrap: impl Fn(T) -> Input,
+) {
+    while let Some(item) = from.recv().await {
+        if inputs.send(wrap(item)).await.is_err() {
             return;
         }
     }
--- a/crates/cassiarock-test-support/src/log/fault.rs
+++ b/crates/cassiarock-test-support/src/log/fault.rs
@@ -9,6 +9,8 @@
     pub down: bool,
     /// Every call is answered with status 429 and has no effect.
     pub busy: bool,
+    /// Calls for this topic are answered with status 503 and have no effect.
+    pub lacks: Option<&'static str>,
     /// Every call hangs without an answer and has no effect.
     pub silent: bool,
     /// Every call takes this much longer, an append before it takes effect.
@@ -24,8 +26,8 @@
 
 impl Fault {
     /// The status of a call that is turned away.
-    pub(super) const fn refusal(&self) -> Option<u16> {
-        if self.down {
+    pub(super) fn refusal(&self, topic: &str) -> Option<u16> {
+        if self.down || self.lacks == Some(topic) {
             Some(503)
         } else if self.busy {
             Some(429)
--- a/crates/cassiarock-test-support/src/log/server.rs
+++ b/crates/cassiarock-test-support/src/log/server.rs
@@ -81,13 +81,13 @@
     }
 
     /// Applies the faults that come before any effect.
-    async fn suffer(&self) -> Option<Response> {
+    async fn suffer(&self, topic: &str) -> Option<Response> {
         let fault = *self.fault();
         if fault.silent {
             std::future::pending::<()>().await;
         }
         tokio::time::sleep(fault.slow).await;
-        let status = fault.refusal()?;
+        let status = fault.refusal(topic)?;
         Some(StatusCode::from_u16(status).ok()?.into_response())
     }
 
@@ -165,7 +165,7 @@
     Query(to): Query<Append>,
     body: Bytes,
 ) -> Response {
-    if let Some(refusal) = entrance.suffer().await {
+    if let Some(refusal) = entrance.suffer(&to.topic).await {
         return refusal;
     }
     if OPERATOR.contains(&to.topic.as_str()) {
@@ -225,7 +225,7 @@
 }
 
 async fn read(State(entrance): State<Entrance>, Query(range): Query<Range>) -> Response {
-    if let Some(refusal) = entrance.suffer().await {
+    if let Some(refusal) = entrance.suffer(&range.topic).await {
         return refusal;
     }
     let shared = &entrance.shared;
@@ -277,7 +277,7 @@
 }
 
 async fn newest(State(entrance): State<Entrance>, Query(keys): Query<Keys>) -> Response {
-    if let Some(refusal) = entrance.suffer().await {
+    if let Some(refusal) = entrance.suffer(&keys.topic).await {
         return refusal;
     }
     entrance.shared.reads.fetch_add(1, Ordering::Relaxed);
--- a/crates/cassiarock-transient/src/lib.rs
+++ b/crates/cassiarock-transient/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod decision;
 mod demand;
+pub mod directory;
 pub mod evacuation;
 pub mod host;
 mod job;
--- a/crates/cassiarock-transient/src/message.rs
+++ b/crates/cassiarock-transient/src/message.rs
@@ -1,6 +1,6 @@
 //! What entries and agents tell each other about transient jobs.
 
-use crate::{Demand, Life, evacuation};
+use crate::{Demand, Life, directory, evacuation};
 use cassiarock_id::Name;
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
@@ -240,8 +240,13 @@
         #[serde(with = "serde_bytes")]
         packed: Vec<u8>,
     },
-    /// Entry to agent: the addresses of all entries that it knows.
+    /// Entry to agent: the addresses of entries that it is linked to, whether they have been able
+    /// to announce themselves or not.
     Entries(Vec<Name>),
+    /// Entry to agent: what has changed in the directory of entries.
+    Directory(directory::Update),
+    /// Agent to entry: send me the whole directory of entries.
+    AskDirectory,
     /// Entry to entry or agent: which data centres operators are emptying.
     Evacuations(evacuation::State),
 }
--- a/crates/cassiarock-transient/src/scheduler/link.rs
+++ b/crates/cassiarock-transient/src/scheduler/link.rs
@@ -92,6 +92,8 @@
             | Message::AskConfiguration
             | Message::Configuration { .. }
             | Message::Entries(_)
+            | Message::Directory(_)
+            | Message::AskDirectory
             | Message::Evacuations(_) => {}
         }
         actions
--- /dev/null
+++ b/crates/cassiarock-transient/tests/directory.rs
@@ -0,0 +1,98 @@
+//! The directory of entries, as it is passed on.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use cassiarock_id::Name;
+use cassiarock_transient::directory::{Gathering, State, Taken, Update};
+use proptest::prelude::*;
+use std::collections::BTreeSet;
+
+fn name(number: u8) -> Name {
+    format!("10.0.0.{number}:7000").into()
+}
+
+fn update(records: &[(u8, bool)], from: usize, to: usize) -> Option<Update> {
+    let mut gathering = Gathering::default();
+    for offset in from..to {
+        let (address, is_present) = records[offset];
+        gathering.add(offset as u64, name(address), is_present);
+    }
+    gathering.take()
+}
+
+fn at(records: &[(u8, bool)], end: usize) -> BTreeSet<Name> {
+    let mut addresses = BTreeSet::new();
+    for (address, is_present) in &records[..end] {
+        if *is_present {
+            addresses.insert(name(*address));
+        } else {
+            addresses.remove(&name(*address));
+        }
+    }
+    addresses
+}
+
+fn listed(state: &State) -> BTreeSet<Name> {
+    state.all().present.into_iter().collect()
+}
+
+// An address that an update neither adds nor drops stays; one that came and went within it is gone.
+#[test]
+fn the_last_record_of_an_address_counts() {
+    let mut gathering = Gathering::default();
+    gathering.add(4, name(1), true);
+    gathering.add(5, name(1), false);
+    gathering.add(6, name(2), true);
+    let update = gathering.take().unwrap();
+    assert_eq!((update.since, update.next), (4, 7));
+    let mut state = State::default();
+    state.take(&Update::all(4, [name(1), name(3)]));
+    state.take(&update);
+    assert_eq!(listed(&state), [name(2), name(3)].into());
+    assert_eq!(gathering.take(), None);
+}
+
+// A restarted entry announces itself under the address that it had. It is no new address, and
+// still has to be told.
+#[test]
+fn an_address_that_is_announced_again_is_in_the_update() {
+    let mut state = State::default();
+    state.take(&Update::all(4, [name(1)]));
+    let mut gathering = Gathering::default();
+    gathering.add(4, name(1), true);
+    let update = gathering.take().unwrap();
+    assert!(matches!(state.take(&update), Taken::Changed { added, .. } if added.is_empty()));
+    assert_eq!(update.present, [name(1)]);
+}
+
+#[test]
+fn an_agent_that_knows_as_much_is_told_nothing_by_a_version() {
+    let mut state = State::default();
+    state.take(&Update::all(4, [name(1)]));
+    let version = state.version();
+    assert_eq!(state.take(&version), Taken::Known);
+    assert_eq!(State::default().take(&version), Taken::Gap);
+}
+
+proptest! {
+    // Twelve entries read the topic in pieces of their own and pass them on in any order, some of
+    // them twice, some never. A process that asks for all of it at each gap knows what a reader
+    // of the topic knows.
+    #[test]
+    fn updates_in_any_pieces_and_order_add_up_to_the_topic(
+        records in proptest::collection::vec((0_u8..6, any::<bool>()), 1..40),
+        pieces in proptest::collection::vec((0_usize..40, 1_usize..12), 1..60),
+    ) {
+        let mut state = State::default();
+        for (from, length) in pieces {
+            let from = from.min(records.len() - 1);
+            let to = (from + length).min(records.len());
+            let Some(update) = update(&records, from, to) else { continue };
+            if state.take(&update) == Taken::Gap {
+                let all = Update::all(to as u64, at(&records, to));
+                state.take(&all);
+            }
+            prop_assert_eq!(listed(&state), at(&records, state.next() as usize));
+        }
+    }
+}
--- a/tests/platform/directory.rs
+++ b/tests/platform/directory.rs
@@ -1,13 +1,11 @@
 //! The records by which agents find entries.
 
-use crate::site::Site;
+use crate::site::{DIRECTORY as TOPIC, Site};
 use cassiarock_test_support::log::Stand;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::TcpListener;
 use tokio::time::timeout;
 
-const TOPIC: &str = "keyed.entries";
-
 const SOON: Duration = Duration::from_secs(5);
 
 /// Puts the record of an entry that last said so many minutes ago that it is there.
@@ -38,6 +36,7 @@
 #[tokio::test]
 async fn an_entry_that_starts_clears_away_records_that_were_not_renewed_for_long() {
     let mut site = Site::start(1, 1).await;
+    site.entries[0].door.with_fault(|fault| fault.lacks = None);
     put(&site.store, "127.9.9.1:1", 31);
     put(&site.store, "127.9.9.2:1", 29);
     put_value(&site.store, "127.9.9.3:1", b"\xff no time");
@@ -53,7 +52,7 @@
 #[tokio::test]
 async fn an_agent_dials_an_entry_no_more_whose_record_was_cleared() {
     let site = Site::start(1, 1).await;
-    site.agents[0].door.with_fault(|fault| fault.down = false);
+    site.entries[0].door.with_fault(|fault| fault.lacks = None);
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap().to_string();
     put(&site.store, &address, 0);
@@ -71,3 +70,50 @@
     let again = timeout(Duration::from_secs(1), listener.accept()).await;
     assert!(again.is_err(), "it dials on");
 }
+
+/// How many reads the store answers for so many agents while an entry announces itself, beyond
+/// those that go on anyway.
+async fn reads_for_an_announcement(agents: usize) -> u64 {
+    let site = Site::start(1, agents).await;
+    site.entries[0].door.with_fault(|fault| fault.lacks = None);
+    for agent in &site.agents {
+        agent.door.with_fault(|fault| fault.down = false);
+    }
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    // All have read what is there and wait.
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let before = site.store.reads();
+    put(&site.store, &address, 0);
+    for _ in 0..agents {
+        let dialled = timeout(SOON, listener.accept()).await;
+        assert!(dialled.is_ok(), "each agent hears of it");
+    }
+    site.store.reads() - before
+}
+
+// Each agent followed the directory: one entry that was restarted woke the waiting reads of all,
+// and sixteen of them cost a fleet of 800 agents 12,800 calls to the store.
+#[tokio::test]
+async fn an_announcement_costs_the_store_as_many_reads_with_nine_agents_as_with_one() {
+    let few = reads_for_an_announcement(1).await;
+    let many = reads_for_an_announcement(9).await;
+    assert!(
+        many <= few + 1,
+        "{few} reads with one agent, {many} with nine"
+    );
+}
+
+// An agent was linked to an entry that the store turned away when another one announced itself.
+// It has to hear of that as soon as any of its entries does.
+#[tokio::test]
+async fn an_agent_asks_for_what_it_lacks() {
+    let site = Site::start(2, 1).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    put(&site.store, &address, 0);
+    // The second entry has read all of it before it passes anything on.
+    site.entries[1].door.with_fault(|fault| fault.lacks = None);
+    let dialled = timeout(SOON, listener.accept()).await;
+    assert!(dialled.is_ok());
+}
--- a/tests/platform/site.rs
+++ b/tests/platform/site.rs
@@ -14,6 +14,9 @@
 
 const DAEMON: &str = env!("CARGO_BIN_EXE_cassiarockd");
 
+/// The topic by which agents find entries.
+pub const DIRECTORY: &str = "keyed.entries";
+
 /// So many deployments run at a time: leases of 600 ms lapse on a machine that has more to do
 /// than it can.
 static ROOM: Semaphore = Semaphore::const_new(2);
@@ -154,6 +157,8 @@
         let seeds: Vec<String> = (0..entries).map(|n| ports.ip(1, n).to_string()).collect();
         for number in 0..entries {
             let door = site.store.door().await.unwrap();
+            // What an entry announces leads past its proxy.
+            door.with_fault(|fault| fault.lacks = Some(DIRECTORY));
             let seeds: &[String] = if are_entries_linked { &seeds } else { &[] };
             site.entries.push(Entry::start(number, ports, door, seeds));
         }
