--- a/crates/cassiarock-transient/tests/directory.rs
+++ b/crates/cassiarock-transient/tests/directory.rs
@@ -13,9 +13,8 @@
 
 fn update(records: &[(u8, bool)], from: usize, to: usize) -> Option<Update> {
     let mut gathering = Gathering::default();
-    for offset in from..to {
-        let (address, is_present) = records[offset];
-        gathering.add(offset as u64, name(address), is_present);
+    for (offset, (address, is_present)) in records.iter().enumerate().take(to).skip(from) {
+        gathering.add(offset as u64, name(*address), *is_present);
     }
     gathering.take()
 }
