Poll upstreams that run nothing less often

Cause: each upstream was polled each 40 ms whether anything ran there or not; on a fleet that uses a seventh of its room most polls wait for nothing.

A poll of an idle upstream waits 150 ms: the lease of a task that starts meanwhile (600 ms) is renewed in time even if the next poll is lost, and one lost poll does not make the upstream count as silent (350 ms). How long a poll waits is now decided with the leases, without I/O.

--- a/crates/cassiarock-dispatch/src/agent.rs
+++ b/crates/cassiarock-dispatch/src/agent.rs
@@ -33,6 +33,8 @@
     pub(crate) seen: u64,
     /// Until when to renew the leases.
     pub(crate) until: Option<u64>,
+    /// How long it waits for an end.
+    pub(crate) wait: Duration,
     /// The agent's clock.
     pub(crate) asked: Duration,
 }
@@ -45,6 +47,15 @@
         Self {
             seen: 0,
             until: None,
+            wait: Duration::ZERO,
+            ..self
+        }
+    }
+
+    /// The same without a wait.
+    pub(crate) fn without_wait(self) -> Self {
+        Self {
+            wait: Duration::ZERO,
             ..self
         }
     }
@@ -160,6 +171,7 @@
             target,
             seen: self.host.seen(now),
             until: self.host.renew(now),
+            wait: self.host.wait(),
             asked: now,
         })
     }
--- a/crates/cassiarock-dispatch/src/orders.rs
+++ b/crates/cassiarock-dispatch/src/orders.rs
@@ -10,11 +10,6 @@
 use std::time::Duration;
 use tokio::sync::{Semaphore, mpsc, oneshot};
 
-/// How long a look waits for an end. While one look is left unanswered no end is heard of:
-/// with long waits an upstream that leaves one call in twenty unanswered would keep its agent
-/// deaf nearly all the time.
-const WAIT: Duration = Duration::from_millis(40);
-
 /// The pause after a look that failed at once: nothing listens there.
 const PAUSE: Duration = Duration::from_millis(20);
 
@@ -120,7 +115,7 @@
         tokio::spawn(async move {
             // The semaphore is never closed.
             let _permit = this.free.acquire().await;
-            this.look_once(glance, Duration::ZERO).await;
+            this.look_once(glance.without_wait()).await;
         });
     }
 
@@ -136,12 +131,12 @@
                 tokio::time::sleep(IDLE).await;
                 continue;
             };
-            let is_answered = if lost.is_some() {
-                self.look_once(glance.without_renewal(), Duration::ZERO)
-                    .await
+            let glance = if lost.is_some() {
+                glance.without_renewal()
             } else {
-                self.look_once(glance, WAIT).await
+                glance
             };
+            let is_answered = self.look_once(glance).await;
             match (is_answered, lost) {
                 (true, Some(since)) => {
                     let away_ms = since.elapsed().as_millis() as u64;
@@ -157,11 +152,12 @@
         }
     }
 
-    async fn look_once(&self, glance: Glance, wait: Duration) -> bool {
+    async fn look_once(&self, glance: Glance) -> bool {
         let Glance {
             target,
             seen,
             until,
+            wait,
             asked,
         } = glance;
         let look = self
--- a/crates/cassiarock-transient/src/host/looks.rs
+++ b/crates/cassiarock-transient/src/host/looks.rs
@@ -7,11 +7,34 @@
 use cassiarock_id::Process;
 use std::time::Duration;
 
+/// How long a poll waits for an end. While one poll is left unanswered no end is heard of: with
+/// long waits an upstream that leaves one call in twenty unanswered would keep its agent deaf
+/// nearly all the time.
+const WAIT: Duration = Duration::from_millis(40);
+
+/// The same where nothing runs that could end. The lease of a task that starts meanwhile is
+/// renewed in good time after it, and one such poll may stay unanswered before the upstream
+/// counts as silent.
+const IDLE_WAIT: Duration = Duration::from_millis(150);
+
 /// How long ends are kept for an entry whose link has broken. After `RECLAIM` it no longer
 /// waits for them.
 const KEEP: Duration = Duration::from_secs(2);
 
 impl Host {
+    /// How long the next poll waits for an end.
+    ///
+    /// The load that this answers is that of polls of upstreams that run nothing, most of those of
+    /// a system with room.
+    #[must_use]
+    pub fn wait(&self) -> Duration {
+        if self.is_known && self.runs.is_empty() {
+            IDLE_WAIT
+        } else {
+            WAIT
+        }
+    }
+
     /// Until when the next look renews all leases, on the upstream's clock; not at all while
     /// the upstream does not answer, so that the leases are known to lapse.
     pub fn renew(&mut self, now: Duration) -> Option<u64> {
--- a/crates/cassiarock-transient/tests/host/main.rs
+++ b/crates/cassiarock-transient/tests/host/main.rs
@@ -5,6 +5,7 @@
 mod births;
 mod lives;
 mod orders;
+mod polls;
 mod room;
 mod shrink;
 mod world;
--- /dev/null
+++ b/crates/cassiarock-transient/tests/host/polls.rs
@@ -0,0 +1,38 @@
+//! How long polls of the upstream wait.
+
+use crate::world::{World, ms};
+use cassiarock_transient::message::End;
+use cassiarock_transient::timing::{LEASE, SILENCE};
+
+// An upstream that runs nothing was polled as often as a busy one, 22 times a second: most of what
+// its agent spent.
+#[test]
+fn an_upstream_that_runs_nothing_is_polled_less_often() {
+    let mut world = World::new();
+    let idle = world.host.wait();
+    world.order(1, "j", 1);
+    let busy = world.host.wait();
+    assert!(idle >= busy * 3, "{idle:?} and {busy:?}");
+    world.look(&[], &[(1, "j", 1, End::Done)]);
+    assert_eq!(world.host.wait(), idle);
+}
+
+// A task started just after a poll of an idle upstream had gone out, and one more poll was lost:
+// its lease has to be renewed before it lapses.
+#[test]
+fn a_task_that_starts_during_a_long_poll_keeps_its_lease() {
+    let world = World::new();
+    let idle = world.host.wait();
+    let lost = world.host.wait() + ms(250);
+    assert!(idle + lost < LEASE, "{idle:?} and {lost:?}");
+    assert!(idle < SILENCE);
+}
+
+// A new life of the agent does not know what still runs there.
+#[test]
+fn an_upstream_that_is_not_known_yet_counts_as_busy() {
+    let mut world = World::new();
+    let idle = world.host.wait();
+    world.report("u-2", 1);
+    assert!(world.host.wait() < idle);
+}
