Let half of an agent's links stay in its data centre

The directory tells each entry's data centre. An agent links to up to six of its own first, then to all by its own order; failing ones are stood in for as before. An entry of another version, whose record does not say where it is, counts as far.

Considered: near ones alone, which a data centre's loss would leave without entries for seconds, and which cannot level load between data centres; near upstreams first when placing, which changes small systems as well and is left.

--- a/crates/cassiarock-dispatch/src/agent.rs
+++ b/crates/cassiarock-dispatch/src/agent.rs
@@ -8,7 +8,7 @@
 use cassiarock_id::Process;
 use cassiarock_peer::{Dialer, Event, Identity, Key, Links};
 use cassiarock_process::{Clock, Status};
-use cassiarock_transient::directory::Taken;
+use cassiarock_transient::directory::{Place, Taken};
 use cassiarock_transient::host::{Action, Answer, Look, Task};
 use cassiarock_transient::roster::{Roster, Step};
 use cassiarock_transient::{Host, Life, Message, directory, evacuation};
@@ -141,7 +141,8 @@
             Input::Fenced(life) => self.host.fenced(&life),
             Input::Link(event) => self.event(event, now),
             Input::Entry(address) => {
-                self.meet(address);
+                // Where it is comes with the directory.
+                self.meet(address, false);
                 Vec::new()
             }
             Input::Directory(update) => {
@@ -217,9 +218,9 @@
     fn message(&mut self, peer: &Hello, message: Message, now: Duration) -> Vec<Action> {
         match message {
             Message::Entries(entries) => {
-                let addresses = entries.iter().filter_map(|entry| entry.parse().ok());
-                for address in addresses {
-                    self.roster.tell(address);
+                let known: Vec<_> = entries.iter().filter_map(|at| self.locate(at)).collect();
+                for (address, is_near) in known {
+                    self.roster.tell(address, is_near);
                 }
                 Vec::new()
             }
@@ -238,13 +239,16 @@
     fn direct(&mut self, update: &directory::Update) -> Taken {
         let taken = self.directory.take(update);
         if let Taken::Changed { added, removed } = &taken {
-            log::info!(added = added.len(), removed = removed.len(), offset = update.next; "directory of entries");
+            log::info!(added = added, removed = removed.len(), offset = update.next; "directory of entries");
             // Each present one, known or not: it may have started again.
-            let present = update
+            let present: Vec<_> = update
                 .present
                 .iter()
-                .filter_map(|address| address.parse().ok());
-            present.for_each(|address| self.meet(address));
+                .filter_map(|at| self.locate(at))
+                .collect();
+            for (address, is_near) in present {
+                self.meet(address, is_near);
+            }
             let gone = removed.iter().filter_map(|address| address.parse().ok());
             let steps: Vec<Step> = gone.filter_map(|at| self.roster.forget(at)).collect();
             steps.into_iter().for_each(|step| self.step(step));
@@ -269,9 +273,16 @@
         send(&self.links, entry, Message::AskDirectory);
     }
 
+    /// The address of a place, and whether it is in this agent's data centre. A record of another
+    /// writer may name none.
+    fn locate(&self, place: &Place) -> Option<(SocketAddr, bool)> {
+        let is_near = place.data_centre == self.identity.data_centre;
+        Some((place.address.parse().ok()?, is_near))
+    }
+
     /// An entry takes links there, perhaps since a moment.
-    fn meet(&mut self, address: SocketAddr) {
-        self.roster.tell(address);
+    fn meet(&mut self, address: SocketAddr, is_near: bool) {
+        self.roster.tell(address, is_near);
         if let Some(dialer) = self.dialers.get(&address) {
             dialer.nudge();
         }
--- a/crates/cassiarock-dispatch/src/directory.rs
+++ b/crates/cassiarock-dispatch/src/directory.rs
@@ -7,13 +7,12 @@
 use cassiarock_id::{Name, Process, Wall};
 use cassiarock_platform::follow::Backoff;
 use cassiarock_process::Status;
-use cassiarock_transient::directory::{Gathering, Update};
+use cassiarock_transient::directory::{Gathering, Place, Update};
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
 
-/// Each entry has one record, by its address: its process and when it started.
+/// Each entry has one record, by its address: its process, its data centre and when it started.
 const TOPIC: &str = "keyed.entries";
 
 /// When each entry last said that it is still there, by its address. Nobody follows this topic:
@@ -40,10 +39,10 @@
 /// It guards against records that pile up: a VM that is replaced comes back at another address,
 /// and agents dial every address on record, so that in the end they would have no dial left
 /// for those that live.
-pub(crate) async fn announce(store: Store, address: SocketAddr, process: Process) {
-    put(&store, PART, address, &process).await;
+pub(crate) async fn announce(store: Store, place: Place, process: Process) {
+    put(&store, PART, &place, &process).await;
     loop {
-        put(&store, RENEWED, address, &process).await;
+        put(&store, RENEWED, &place, &process).await;
         // What is left is found at the next renewal, of any entry.
         if let Err(error) = clear(&store).await {
             log::warn!("clear the directory of entries: {error}");
@@ -53,14 +52,15 @@
 }
 
 /// Puts the record of an entry, trying until the store takes it.
-async fn put(store: &Store, part: Part<'_>, address: SocketAddr, process: &Process) {
+async fn put(store: &Store, part: Part<'_>, place: &Place, process: &Process) {
     let mut backoff = Backoff::default();
     loop {
-        let value = format!("{process} {}", Wall::now().as_millis());
-        let record = keyed(&address.to_string(), value.as_bytes());
+        let now = Wall::now().as_millis();
+        let value = format!("{process} {} {now}", place.data_centre);
+        let record = keyed(&place.address, value.as_bytes());
         match store.append(part, &record, None).await {
             Ok(offset) => {
-                log::info!(address:% = address, topic = part.topic, offset = offset; "announced");
+                log::info!(address = place.address, topic = part.topic, offset = offset; "announced");
                 return;
             }
             // A second record of the same key does no harm.
@@ -105,6 +105,20 @@
     renewed.is_some_and(|millis| now.since(Wall::from_millis(millis)) > GONE)
 }
 
+fn place(entry: &Entry) -> Place {
+    Place::new(&*entry.key, data_centre(&entry.value))
+}
+
+/// The data centre in a record of an entry; empty if it says none.
+fn data_centre(value: &[u8]) -> Name {
+    let value = std::str::from_utf8(value).unwrap_or_default();
+    let parts: Vec<&str> = value.split(' ').collect();
+    match parts[..] {
+        [_process, data_centre, _written] => data_centre.into(),
+        _ => Name::default(),
+    }
+}
+
 /// Records of 60 bytes, each of which counts: one that drops a key ends the dials to it. Entries
 /// that start together are read together.
 const FEED: Feed = Feed {
@@ -130,10 +144,12 @@
     };
     follow(store, FEED, |news| match news {
         News::Newest(entries, end) => {
-            let addresses = entries.iter().map(|entry| Name::from(&*entry.key));
-            tell(Update::all(end, addresses));
+            tell(Update::all(end, entries.iter().map(place)));
+        }
+        News::Record(offset, key, value) => {
+            let data_centre = (!value.is_empty()).then(|| data_centre(value));
+            gathering.add(offset, key.into(), data_centre);
         }
-        News::Record(offset, key, value) => gathering.add(offset, key.into(), !value.is_empty()),
         News::Read => gathering.take().into_iter().for_each(&tell),
     })
     .await;
@@ -151,8 +167,7 @@
         let pause = match store.newest(PART).await {
             Ok((entries, end)) => {
                 backoff.succeed();
-                let addresses = entries.iter().map(|entry| Name::from(&*entry.key));
-                let update = Update::all(end, addresses);
+                let update = Update::all(end, entries.iter().map(place));
                 let is_empty = update.present.is_empty();
                 if found.send(Input::Directory(update)).await.is_err() {
                     return;
--- a/crates/cassiarock-dispatch/src/entry.rs
+++ b/crates/cassiarock-dispatch/src/entry.rs
@@ -9,7 +9,7 @@
 use cassiarock_id::{Name, Process, Wall};
 use cassiarock_peer::{Event, Links};
 use cassiarock_process::{Clock, Evacuation, Status};
-use cassiarock_transient::directory::Taken;
+use cassiarock_transient::directory::{Place, Taken};
 use cassiarock_transient::lag::Lag;
 use cassiarock_transient::scheduler::{Action, Answer, Stage};
 use cassiarock_transient::{Message, Scheduler, Table, directory, evacuation};
@@ -64,7 +64,7 @@
     pub(crate) table: watch::Sender<Option<Arc<Table>>>,
     pub(crate) status: watch::Sender<Status>,
     /// Where other entries take links, as they said.
-    pub(crate) entries: BTreeSet<Name>,
+    pub(crate) entries: BTreeSet<Place>,
     /// Where entries take links, as they have announced.
     pub(crate) directory: directory::State,
     pub(crate) beat: Duration,
@@ -240,7 +240,8 @@
                     self.scheduler.unlink(&peer.process);
                     self.lag.lose(&peer.process);
                     // Agents have its address; new ones are told of it again when it is back.
-                    self.entries.remove(&peer.address);
+                    let place = Place::new(peer.address.clone(), peer.data_centre.clone());
+                    self.entries.remove(&place);
                 }
                 Vec::new()
             }
@@ -325,7 +326,7 @@
         let Taken::Changed { added, removed } = taken else {
             return;
         };
-        log::info!(added = added.len(), removed = removed.len(), offset = update.next; "directory of entries");
+        log::info!(added = added, removed = removed.len(), offset = update.next; "directory of entries");
         // An agent that lacks what came before asks for all of it.
         let news = if update.since == 0 {
             self.directory.version()
@@ -348,9 +349,10 @@
 
     /// An entry that the store turns away is known to its agents through others.
     fn meet(&mut self, peer: &Hello) {
-        if self.entries.len() < ENTRIES && self.entries.insert(peer.address.clone()) {
+        let place = Place::new(peer.address.clone(), peer.data_centre.clone());
+        if self.entries.len() < ENTRIES && self.entries.insert(place.clone()) {
             // Only the new one: the whole list to all agents would be 100 MB with 600 entries.
-            let news = vec![peer.address.clone()];
+            let news = vec![place];
             for agent in self.scheduler.linked() {
                 send(&self.links, agent, Message::Entries(news.clone()));
             }
--- a/crates/cassiarock-dispatch/src/run/entry.rs
+++ b/crates/cassiarock-dispatch/src/run/entry.rs
@@ -12,7 +12,7 @@
 use cassiarock_process::{
     BACKLOG, Clock, Fault, Parts, Pump, Report, Stage, Status, forward, until,
 };
-use cassiarock_transient::directory::State;
+use cassiarock_transient::directory::{Place, State};
 use cassiarock_transient::lag::Lag;
 use cassiarock_transient::{Scheduler, Table};
 use cassiarock_wire::Role;
@@ -121,6 +121,7 @@
             reload(file, settings.clone(), seeds),
         );
         parts.spawn("links to entries", dial(seeded, identity, events));
+        let place = Place::new(settings.peers.to_string(), settings.data_centre.clone());
         let (changes, changed) = mpsc::unbounded_channel();
         parts.spawn_vital(
             "the directory of entries",
@@ -132,7 +133,7 @@
         );
         parts.spawn(
             "the announcement",
-            directory::announce(store.clone(), settings.peers, process),
+            directory::announce(store.clone(), place, process),
         );
         parts.spawn(
             "what callers usually wait",
--- a/crates/cassiarock-transient/src/directory.rs
+++ b/crates/cassiarock-transient/src/directory.rs
@@ -14,11 +14,33 @@
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// The addresses of entries, before an offset of their topic.
+/// Where an entry takes links.
+#[derive(Clone, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Place {
+    /// The address.
+    pub address: Name,
+    /// The data centre; empty if it is not known.
+    #[serde(default)]
+    pub data_centre: Name,
+}
+
+/// Where entries take links, before an offset of their topic.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct State {
     next: u64,
-    addresses: BTreeSet<Name>,
+    /// Data centres by address.
+    places: BTreeMap<Name, Name>,
+}
+
+impl Place {
+    /// An address in a data centre.
+    #[must_use]
+    pub fn new(address: impl Into<Name>, data_centre: impl Into<Name>) -> Self {
+        Self {
+            address: address.into(),
+            data_centre: data_centre.into(),
+        }
+    }
 }
 
 /// What has changed between two offsets of the topic.
@@ -28,8 +50,8 @@
     pub since: u64,
     /// The offset after the last one.
     pub next: u64,
-    /// Addresses of which a record tells in between, or all of them.
-    pub present: Vec<Name>,
+    /// Places of which a record tells in between, or all of them.
+    pub present: Vec<Place>,
     /// Addresses whose records were dropped in between.
     pub gone: Vec<Name>,
 }
@@ -39,10 +61,10 @@
 pub enum Taken {
     /// All of it was known.
     Known,
-    /// The state is that of its end now; these addresses are new, and these gone.
+    /// The state is that of its end now.
     Changed {
-        /// New addresses.
-        added: Vec<Name>,
+        /// How many addresses are new.
+        added: usize,
         /// Addresses that are there no more.
         removed: Vec<Name>,
     },
@@ -63,7 +85,11 @@
         Update {
             since: 0,
             next: self.next,
-            present: self.addresses.iter().cloned().collect(),
+            present: self
+                .places
+                .iter()
+                .map(|(address, data_centre)| Place::new(address.clone(), data_centre.clone()))
+                .collect(),
             gone: Vec::new(),
         }
     }
@@ -82,10 +108,10 @@
     /// Takes an update, unless records before it are missing.
     ///
     /// ```
-    /// use cassiarock_transient::directory::{State, Taken, Update};
+    /// use cassiarock_transient::directory::{Place, State, Taken, Update};
     /// let mut state = State::default();
-    /// let mut update = Update::all(7, ["10.0.0.1:7000".into()]);
-    /// assert!(matches!(state.take(&update), Taken::Changed { added, .. } if added.len() == 1));
+    /// let mut update = Update::all(7, [Place::new("10.0.0.1:7000", "dc-1")]);
+    /// assert!(matches!(state.take(&update), Taken::Changed { added: 1, .. }));
     /// assert_eq!(state.take(&update), Taken::Known);
     /// update.since = 9;
     /// update.next = 10;
@@ -99,37 +125,40 @@
             return Taken::Gap;
         }
         self.next = update.next;
-        let present = update.present.iter();
-        let added: Vec<Name> = present
-            .filter(|address| !self.addresses.contains(*address))
-            .cloned()
-            .collect();
         let removed: Vec<Name> = if update.since == 0 {
-            let listed: BTreeSet<&Name> = update.present.iter().collect();
-            let missing = self.addresses.iter().filter(|at| !listed.contains(at));
+            let listed: BTreeSet<&Name> = update.present.iter().map(|at| &at.address).collect();
+            let missing = self.places.keys().filter(|at| !listed.contains(at));
             missing.cloned().collect()
         } else {
             let gone = update.gone.iter();
-            gone.filter(|at| self.addresses.contains(*at))
+            gone.filter(|at| self.places.contains_key(*at))
                 .cloned()
                 .collect()
         };
-        self.addresses.extend(added.iter().cloned());
+        let mut added = 0;
+        for Place {
+            address,
+            data_centre,
+        } in &update.present
+        {
+            let was = self.places.insert(address.clone(), data_centre.clone());
+            added += usize::from(was.is_none());
+        }
         for address in &removed {
-            self.addresses.remove(address);
+            self.places.remove(address);
         }
         Taken::Changed { added, removed }
     }
 }
 
 impl Update {
-    /// All addresses, before the offset `next`.
+    /// All places, before the offset `next`.
     #[must_use]
-    pub fn all(next: u64, addresses: impl IntoIterator<Item = Name>) -> Self {
+    pub fn all(next: u64, places: impl IntoIterator<Item = Place>) -> Self {
         Self {
             since: 0,
             next,
-            present: addresses.into_iter().collect(),
+            present: places.into_iter().collect(),
             gone: Vec::new(),
         }
     }
@@ -140,30 +169,31 @@
 pub struct Gathering {
     since: Option<u64>,
     next: u64,
-    /// Whether the last record of an address tells of it, or drops it.
-    addresses: BTreeMap<Name, bool>,
+    /// The data centre that the last record of an address tells of; none if it drops the address.
+    addresses: BTreeMap<Name, Option<Name>>,
 }
 
 impl Gathering {
-    /// Adds the record at `offset`, which tells of an address or drops it.
-    pub fn add(&mut self, offset: u64, address: Name, is_present: bool) {
+    /// Adds the record at `offset`: an address, and its data centre unless the address is dropped.
+    pub fn add(&mut self, offset: u64, address: Name, data_centre: Option<Name>) {
         self.since.get_or_insert(offset);
         self.next = offset + 1;
-        self.addresses.insert(address, is_present);
+        self.addresses.insert(address, data_centre);
     }
 
     /// What has been gathered, if anything was; the next one begins with nothing.
     pub fn take(&mut self) -> Option<Update> {
-        let since = self.since.take()?;
-        let (present, gone): (Vec<_>, Vec<_>) = std::mem::take(&mut self.addresses)
-            .into_iter()
-            .partition(|(_, is_present)| *is_present);
-        let names = |all: Vec<(Name, bool)>| all.into_iter().map(|(name, _)| name).collect();
-        Some(Update {
-            since,
+        let mut update = Update {
+            since: self.since.take()?,
             next: self.next,
-            present: names(present),
-            gone: names(gone),
-        })
+            ..Update::default()
+        };
+        for (address, data_centre) in std::mem::take(&mut self.addresses) {
+            match data_centre {
+                Some(data_centre) => update.present.push(Place::new(address, data_centre)),
+                None => update.gone.push(address),
+            }
+        }
+        Some(update)
     }
 }
--- a/crates/cassiarock-transient/src/message.rs
+++ b/crates/cassiarock-transient/src/message.rs
@@ -242,7 +242,7 @@
     },
     /// Entry to agent: the addresses of entries that it is linked to, whether they have been able
     /// to announce themselves or not.
-    Entries(Vec<Name>),
+    Entries(Vec<directory::Place>),
     /// Entry to agent: what has changed in the directory of entries.
     Directory(directory::Update),
     /// Agent to entry: send me the whole directory of entries.
--- a/crates/cassiarock-transient/src/roster.rs
+++ b/crates/cassiarock-transient/src/roster.rs
@@ -5,9 +5,13 @@
 //! an entry spent three fifths of its processor share and an agent a third of its own, and
 //! both grew with the number of VMs. Each agent links to a few entries instead, in an order of
 //! its own, so that an entry has the same number of agents at any size of the system.
+//!
+//! Half of them are in its own data centre, if there are so many: what orders, ends and heartbeats
+//! weigh between data centres, and how long they take, would else grow with the number of data
+//! centres. The other half level the load and bear the loss of a data centre.
 
 use cassiarock_id::{Name, Process};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -17,6 +21,9 @@
 /// room for 200 tasks.
 pub const LINKS: usize = 12;
 
+/// Links to entries of the agent's own data centre that come first.
+const NEAR: usize = LINKS / 2;
+
 /// Addresses that are remembered; the aim is some 600 entries.
 const ENTRIES: usize = 4_096;
 
@@ -55,7 +62,7 @@
 #[derive(Clone, Debug)]
 pub struct Roster {
     agent: Name,
-    entries: BTreeMap<Rank, Seat>,
+    entries: BTreeMap<Rank, Entry>,
     ranks: BTreeMap<SocketAddr, Rank>,
     checked: Option<Duration>,
 }
@@ -64,6 +71,14 @@
 /// links of all spread evenly; and the same one in each life, so that they stay.
 type Rank = (u64, SocketAddr);
 
+/// An entry, as an agent knows it.
+#[derive(Clone, Debug)]
+struct Entry {
+    /// Whether it is in the agent's own data centre, as far as is known.
+    is_near: bool,
+    seat: Seat,
+}
+
 #[derive(Clone, Debug, Eq, PartialEq)]
 enum Seat {
     /// Not dialled.
@@ -88,7 +103,7 @@
     /// use std::time::Duration;
     /// let mut roster = Roster::new("agent-1");
     /// let address = "10.0.0.1:7000".parse()?;
-    /// assert!(roster.tell(address));
+    /// assert!(roster.tell(address, true));
     /// let steps = roster.poll(Duration::ZERO, |_| false);
     /// assert_eq!(steps, [Step::Dial(address)]);
     /// # Ok::<_, std::net::AddrParseError>(())
@@ -103,16 +118,23 @@
         }
     }
 
-    /// An entry takes links there. Answers whether that is news; not if too many are known.
-    pub fn tell(&mut self, address: SocketAddr) -> bool {
-        if self.ranks.contains_key(&address) || self.ranks.len() >= ENTRIES {
+    /// An entry takes links there, in the agent's own data centre or, as far as is known, not.
+    /// Answers whether that is news; not if too many are known.
+    pub fn tell(&mut self, address: SocketAddr, is_near: bool) -> bool {
+        let rank = self.ranks.get(&address);
+        if let Some(entry) = rank.and_then(|rank| self.entries.get_mut(rank)) {
+            entry.is_near |= is_near;
+            return false;
+        }
+        if self.ranks.len() >= ENTRIES {
             return false;
         }
         let mut hasher = DefaultHasher::new();
         (&self.agent, address).hash(&mut hasher);
         let rank = (hasher.finish(), address);
         self.ranks.insert(address, rank);
-        self.entries.insert(rank, Seat::Known);
+        let seat = Seat::Known;
+        self.entries.insert(rank, Entry { is_near, seat });
         self.checked = None;
         true
     }
@@ -120,20 +142,24 @@
     /// The entry there has been gone for long. One that is linked lives, whatever is said.
     pub fn forget(&mut self, address: SocketAddr) -> Option<Step> {
         let rank = self.ranks.get(&address)?;
-        if matches!(self.entries.get(rank), Some(Seat::Linked { .. })) {
+        let entry = self.entries.get(rank);
+        if entry.is_some_and(|entry| matches!(entry.seat, Seat::Linked { .. })) {
             return None;
         }
         let was = self.entries.remove(rank);
         self.ranks.remove(&address);
-        (was != Some(Seat::Known)).then_some(Step::Drop(address))
+        let is_dialled = was.is_some_and(|was| was.seat != Seat::Known);
+        is_dialled.then_some(Step::Drop(address))
     }
 
     /// The dialled link with this serial number is open. One whose dial has been given up
     /// meanwhile is about to end, and is not dialled again by itself.
     pub fn up(&mut self, address: SocketAddr, entry: Process, serial: u64) {
         let rank = self.ranks.get(&address);
-        let seat = rank.and_then(|rank| self.entries.get_mut(rank));
-        if let Some(seat @ Seat::Dialled(_)) = seat {
+        let known = rank.and_then(|rank| self.entries.get_mut(rank));
+        if let Some(Entry { seat, .. }) = known
+            && matches!(seat, Seat::Dialled(_))
+        {
             *seat = Seat::Linked {
                 entry,
                 serial,
@@ -145,7 +171,7 @@
 
     /// The link with this serial number is gone; it is being dialled again.
     pub fn down(&mut self, gone: u64, now: Duration) {
-        for seat in self.entries.values_mut() {
+        for Entry { seat, .. } in self.entries.values_mut() {
             if matches!(seat, Seat::Linked { serial, .. } if *serial == gone) {
                 *seat = Seat::Dialled(now);
                 self.checked = None;
@@ -160,24 +186,62 @@
             return Vec::new();
         }
         self.checked = Some(now);
+        let wanted = self.wanted(now);
         let mut steps = Vec::new();
-        let (mut wanted, mut failing) = (0, 0);
-        for ((_, address), seat) in &mut self.entries {
-            let is_wanted = wanted < LINKS && failing < FAILING;
-            if is_failing(seat, now) {
-                failing += 1;
+        for (rank, entry) in &mut self.entries {
+            let (_, address) = *rank;
+            let step = if wanted.contains(rank) {
+                want(address, &mut entry.seat, now)
             } else {
-                wanted += 1;
-            }
-            let step = if is_wanted {
-                want(*address, seat, now)
-            } else {
-                give_up(*address, seat, now, &has_tasks)
+                give_up(address, &mut entry.seat, now, &has_tasks)
             };
             steps.extend(step);
         }
         steps
     }
+
+    /// The entries to be linked: near ones up to their share, then all by their ranks.
+    fn wanted(&self, now: Duration) -> BTreeSet<Rank> {
+        let mut wanted = Wanted::default();
+        let near = self.entries.iter().filter(|(_, entry)| entry.is_near);
+        wanted.fill(NEAR, near, now);
+        wanted.fill(LINKS, self.entries.iter(), now);
+        wanted.ranks
+    }
+}
+
+/// Entries to be linked, as they are picked.
+#[derive(Debug, Default)]
+struct Wanted {
+    ranks: BTreeSet<Rank>,
+    /// Of these, how many are linked or about to be.
+    sound: usize,
+    /// Of these, how many have not been linked for long.
+    failing: usize,
+}
+
+impl Wanted {
+    /// Picks the first of `entries` until so many are sound. Others stand in for failing ones.
+    fn fill<'a>(
+        &mut self,
+        most: usize,
+        entries: impl Iterator<Item = (&'a Rank, &'a Entry)>,
+        now: Duration,
+    ) {
+        for (rank, entry) in entries {
+            if self.sound >= most || self.failing >= FAILING {
+                return;
+            }
+            if !self.ranks.insert(*rank) {
+                continue;
+            }
+            if is_failing(&entry.seat, now) {
+                self.failing += 1;
+            } else {
+                self.sound += 1;
+            }
+        }
+    }
 }
 
 /// Whether the entry has not been linked for so long that another one is needed.
--- a/crates/cassiarock-transient/tests/directory.rs
+++ b/crates/cassiarock-transient/tests/directory.rs
@@ -3,7 +3,7 @@
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 use cassiarock_id::Name;
-use cassiarock_transient::directory::{Gathering, State, Taken, Update};
+use cassiarock_transient::directory::{Gathering, Place, State, Taken, Update};
 use proptest::prelude::*;
 use std::collections::BTreeSet;
 
@@ -11,10 +11,22 @@
     format!("10.0.0.{number}:7000").into()
 }
 
+fn place(number: u8) -> Place {
+    Place::new(name(number), "dc-1")
+}
+
+fn dc() -> Option<Name> {
+    Some("dc-1".into())
+}
+
 fn update(records: &[(u8, bool)], from: usize, to: usize) -> Option<Update> {
     let mut gathering = Gathering::default();
     for (offset, (address, is_present)) in records.iter().enumerate().take(to).skip(from) {
-        gathering.add(offset as u64, name(*address), *is_present);
+        gathering.add(
+            offset as u64,
+            name(*address),
+            is_present.then(|| "dc-1".into()),
+        );
     }
     gathering.take()
 }
@@ -32,20 +44,25 @@
 }
 
 fn listed(state: &State) -> BTreeSet<Name> {
-    state.all().present.into_iter().collect()
+    state
+        .all()
+        .present
+        .into_iter()
+        .map(|at| at.address)
+        .collect()
 }
 
 // An address that an update neither adds nor drops stays; one that came and went within it is gone.
 #[test]
 fn the_last_record_of_an_address_counts() {
     let mut gathering = Gathering::default();
-    gathering.add(4, name(1), true);
-    gathering.add(5, name(1), false);
-    gathering.add(6, name(2), true);
+    gathering.add(4, name(1), dc());
+    gathering.add(5, name(1), None);
+    gathering.add(6, name(2), dc());
     let update = gathering.take().unwrap();
     assert_eq!((update.since, update.next), (4, 7));
     let mut state = State::default();
-    state.take(&Update::all(4, [name(1), name(3)]));
+    state.take(&Update::all(4, [place(1), place(3)]));
     state.take(&update);
     assert_eq!(listed(&state), [name(2), name(3)].into());
     assert_eq!(gathering.take(), None);
@@ -56,18 +73,21 @@
 #[test]
 fn an_address_that_is_announced_again_is_in_the_update() {
     let mut state = State::default();
-    state.take(&Update::all(4, [name(1)]));
+    state.take(&Update::all(4, [place(1)]));
     let mut gathering = Gathering::default();
-    gathering.add(4, name(1), true);
+    gathering.add(4, name(1), dc());
     let update = gathering.take().unwrap();
-    assert!(matches!(state.take(&update), Taken::Changed { added, .. } if added.is_empty()));
-    assert_eq!(update.present, [name(1)]);
+    assert!(matches!(
+        state.take(&update),
+        Taken::Changed { added: 0, .. }
+    ));
+    assert_eq!(update.present, [place(1)]);
 }
 
 #[test]
 fn an_agent_that_knows_as_much_is_told_nothing_by_a_version() {
     let mut state = State::default();
-    state.take(&Update::all(4, [name(1)]));
+    state.take(&Update::all(4, [place(1)]));
     let version = state.version();
     assert_eq!(state.take(&version), Taken::Known);
     assert_eq!(State::default().take(&version), Taken::Gap);
@@ -88,7 +108,7 @@
             let to = (from + length).min(records.len());
             let Some(update) = update(&records, from, to) else { continue };
             if state.take(&update) == Taken::Gap {
-                let all = Update::all(to as u64, at(&records, to));
+                let all = Update::all(to as u64, at(&records, to).into_iter().map(|at| Place::new(at, "dc-1")));
                 state.take(&all);
             }
             prop_assert_eq!(listed(&state), at(&records, state.next() as usize));
--- a/crates/cassiarock-transient/tests/roster.rs
+++ b/crates/cassiarock-transient/tests/roster.rs
@@ -42,7 +42,7 @@
             serial: 0,
         };
         for number in 0..entries {
-            world.roster.tell(address(number));
+            world.roster.tell(address(number), false);
         }
         world
     }
@@ -161,7 +161,7 @@
     for number in 0..240 {
         let mut world = World::new(&format!("agent-{number}"), 63);
         world.pass(1_000);
-        world.roster.tell(address(63));
+        world.roster.tell(address(63), false);
         world.pass(1_000);
         linked += usize::from(world.linked.contains_key(&address(63)));
     }
@@ -242,8 +242,8 @@
         Some(Step::Drop(address(0)))
     );
     assert_eq!(world.roster.forget(address(1)), None);
-    assert!(world.roster.tell(address(0)), "it is news again");
-    assert!(!world.roster.tell(address(1)));
+    assert!(world.roster.tell(address(0), false), "it is news again");
+    assert!(!world.roster.tell(address(1), false));
 }
 
 // A dial was given up just as its link opened. The agent took the link for its own; when it
@@ -252,11 +252,71 @@
 fn a_link_that_opens_after_its_dial_was_given_up_counts_for_nothing() {
     let mut roster = Roster::new("agent-1");
     let at = address(1);
-    roster.tell(at);
+    roster.tell(at, false);
     assert_eq!(roster.poll(ms(0), |_| false), [Step::Dial(at)]);
     assert_eq!(roster.forget(at), Some(Step::Drop(at)));
-    roster.tell(at);
+    roster.tell(at, false);
     roster.up(at, process(at), 1);
     roster.down(1, ms(10));
     assert_eq!(roster.poll(ms(20), |_| false), [Step::Dial(at)]);
 }
+
+/// The agents of five data centres, and their links to entries of which each data centre has so
+/// many. Gives how many links each entry has, and how many links stay in their data centre.
+fn link_all(agents: usize, entries: [usize; 5], lost: Option<usize>) -> (Vec<usize>, usize, usize) {
+    let places: Vec<usize> = (0..5).flat_map(|at| vec![at; entries[at]]).collect();
+    let (mut links, mut near, mut all) = (vec![0; places.len()], 0, 0);
+    for number in 0..agents {
+        let home = number % 5;
+        let mut world = World::new(&format!("agent-{number}"), 0);
+        for (entry, at) in places.iter().enumerate() {
+            world.roster.tell(address(entry), *at == home);
+            if Some(*at) == lost {
+                world.down.insert(address(entry));
+            }
+        }
+        world.pass(4_000);
+        for (entry, at) in places.iter().enumerate() {
+            if world.linked.contains_key(&address(entry)) {
+                links[entry] += 1;
+                all += 1;
+                near += usize::from(*at == home);
+            }
+        }
+    }
+    (links, near, all)
+}
+
+// In a system of five data centres four fifths of all orders and ends went from one to another.
+#[test]
+fn half_of_an_agents_links_stay_in_its_data_centre() {
+    let (links, near, all) = link_all(200, [10, 8, 6, 7, 9], None);
+    assert_eq!(all, 200 * LINKS);
+    assert!(near * 2 >= all, "{near} of {all}");
+    let mean = all / links.len();
+    assert!(links.iter().all(|count| *count * 3 > mean), "{links:?}");
+}
+
+// A data centre lost all its entries. Its agents had half of their links there.
+#[test]
+fn agents_of_a_data_centre_without_entries_link_elsewhere() {
+    let (links, _, all) = link_all(100, [10, 8, 6, 7, 9], Some(1));
+    assert_eq!(all, 100 * LINKS);
+    assert!(links[10..18].iter().all(|count| *count == 0));
+    let (_, _, all) = link_all(20, [20, 0, 10, 10, 0], None);
+    assert_eq!(all, 20 * LINKS);
+}
+
+// An entry was known by its address alone before the directory told where it is.
+#[test]
+fn an_entry_that_turns_out_to_be_near_comes_first() {
+    let mut world = World::new("agent-1", 40);
+    world.pass(500);
+    for number in 30..36 {
+        world.roster.tell(address(number), true);
+    }
+    world.pass(12_500);
+    assert_eq!(world.linked.len(), LINKS);
+    let near = (30..36).filter(|number| world.linked.contains_key(&address(*number)));
+    assert_eq!(near.count(), 6);
+}
