Link each entry to four others of its own choice in place of the seeds

Cause: each entry kept a link to each of the three seeds, and those with every other entry: 182 links in the whole fleet, each with ten heartbeats a second each way. The busiest entry held 508 files where the middle one holds 105, and spent up to 0.098 of a core; the small VMs have 0.12. It grows with the number of entries, and some 220 of them would take all of such a VM.

Entries choose four others by an order of their own, two in their data centre, by the roster that agents use. Seeds are dialled 300 ms after the start only: by then the directory has told all entries, if the store answers, and seeds rank among them as any other. Agents do the same; at a start of 800 the seeds took a link with each, kept for ten seconds.

The dialling that agents and entries share has moved to a module of its own.

Tests: at 55, 183 and 600 entries no entry has more than twenty links, and all are reached over six at most; sixteen processes, none linked to all others. Not run against the former code, which had no such choice.

--- a/crates/cassiarock-dispatch/src/agent.rs
+++ b/crates/cassiarock-dispatch/src/agent.rs
@@ -2,24 +2,23 @@
 
 use crate::line::tell;
 use crate::links::send;
+use crate::mesh::{Mesh, Retired};
 use crate::orders::Orders;
 use cassiarock_adapter::reports::Report;
 use cassiarock_adapter::worker::Target;
 use cassiarock_id::Process;
-use cassiarock_peer::{Dialer, Event, Identity, Key, Links};
+use cassiarock_peer::{Event, Links};
 use cassiarock_process::{Clock, Status};
-use cassiarock_transient::directory::{Place, Taken};
+use cassiarock_transient::directory::Taken;
 use cassiarock_transient::host::{Action, Answer, Look, Task};
-use cassiarock_transient::roster::{Roster, Step};
 use cassiarock_transient::{Host, Life, Message, directory, evacuation};
 use cassiarock_wire::{Frame, Hello};
 use kameo::Actor;
 use kameo::message::{Context, Message as Handle};
-use std::collections::HashMap;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{oneshot, watch};
 
 /// An entry that was asked for the directory has answered within this time.
 const ASK_AGAIN: Duration = Duration::from_millis(300);
@@ -97,15 +96,9 @@
     pub(crate) host: Host,
     pub(crate) clock: Clock,
     pub(crate) links: Links,
-    pub(crate) roster: Roster,
-    pub(crate) dialers: HashMap<SocketAddr, Dialer>,
-    pub(crate) identity: Identity,
-    pub(crate) key: Key,
-    pub(crate) events: mpsc::Sender<Event>,
+    pub(crate) mesh: Mesh,
     pub(crate) orders: Orders,
     pub(crate) status: watch::Sender<Status>,
-    /// Where entries take links, as they have announced.
-    pub(crate) directory: directory::State,
     /// The entry that said last that it knows more of the directory, and up to where.
     pub(crate) ahead: Option<(Process, u64)>,
     /// When an entry was last asked for the whole directory.
@@ -141,12 +134,11 @@
             Input::Fenced(life) => self.host.fenced(&life),
             Input::Link(event) => self.event(event, now),
             Input::Entry(address) => {
-                // Where it is comes with the directory.
-                self.meet(address, false);
+                self.mesh.meet_seed(address);
                 Vec::new()
             }
             Input::Directory(update) => {
-                self.direct(&update);
+                self.mesh.direct(&update);
                 Vec::new()
             }
             Input::Started(life, task, answer, clock) => {
@@ -194,9 +186,7 @@
             Event::Up(link) => {
                 let peer = link.peer.clone();
                 log::info!(dependency:% = peer.process; "link opened");
-                if let Some(address) = link.dialled {
-                    self.roster.up(address, peer.process.clone(), link.serial);
-                }
+                self.mesh.up(&link);
                 self.links.open(link);
                 self.host.link(&peer.process, now)
             }
@@ -205,7 +195,7 @@
             }
             Event::Frame(..) => Vec::new(),
             Event::Down(peer, serial) => {
-                self.roster.down(serial, now);
+                self.mesh.down(serial, now);
                 if self.links.close(&peer.process, serial) {
                     log::warn!(dependency:% = peer.process; "link lost");
                     self.host.unlink(&peer.process);
@@ -218,14 +208,11 @@
     fn message(&mut self, peer: &Hello, message: Message, now: Duration) -> Vec<Action> {
         match message {
             Message::Entries(entries) => {
-                let known: Vec<_> = entries.iter().filter_map(|at| self.locate(at)).collect();
-                for (address, is_near) in known {
-                    self.roster.tell(address, is_near);
-                }
+                entries.iter().for_each(|place| self.mesh.meet(place));
                 Vec::new()
             }
             Message::Directory(update) => {
-                if self.direct(&update) == Taken::Gap {
+                if self.mesh.direct(&update) == Taken::Gap {
                     self.ahead = Some((peer.process.clone(), update.next));
                 }
                 Vec::new()
@@ -235,34 +222,13 @@
         }
     }
 
-    /// Takes what has changed in the directory of entries.
-    fn direct(&mut self, update: &directory::Update) -> Taken {
-        let taken = self.directory.take(update);
-        if let Taken::Changed { added, removed } = &taken {
-            log::info!(added = added, removed = removed.len(), offset = update.next; "directory of entries");
-            // Each present one, known or not: it may have started again.
-            let present: Vec<_> = update
-                .present
-                .iter()
-                .filter_map(|at| self.locate(at))
-                .collect();
-            for (address, is_near) in present {
-                self.meet(address, is_near);
-            }
-            let gone = removed.iter().filter_map(|address| address.parse().ok());
-            let steps: Vec<Step> = gone.filter_map(|at| self.roster.forget(at)).collect();
-            steps.into_iter().for_each(|step| self.step(step));
-        }
-        taken
-    }
-
     /// Asks the entry that knows more than this agent for the whole directory, again if no answer
     /// comes. Once its link is gone, another one tells with its own link how far it knows.
     fn ask_directory(&mut self, now: Duration) {
         let Some((entry, next)) = &self.ahead else {
             return;
         };
-        if *next <= self.directory.next() {
+        if *next <= self.mesh.directory().next() {
             self.ahead = None;
             return;
         }
@@ -273,26 +239,11 @@
         send(&self.links, entry, Message::AskDirectory);
     }
 
-    /// The address of a place, and whether it is in this agent's data centre. A record of another
-    /// writer may name none.
-    fn locate(&self, place: &Place) -> Option<(SocketAddr, bool)> {
-        let is_near = place.data_centre == self.identity.data_centre;
-        Some((place.address.parse().ok()?, is_near))
-    }
-
-    /// An entry takes links there, perhaps since a moment.
-    fn meet(&mut self, address: SocketAddr, is_near: bool) {
-        self.roster.tell(address, is_near);
-        if let Some(dialer) = self.dialers.get(&address) {
-            dialer.nudge();
-        }
-    }
-
     fn evacuate(&mut self, state: &evacuation::State, from: &Process) -> Vec<Action> {
         if self.evacuations.adopt(state).is_none() {
             return Vec::new();
         }
-        let is_evacuated = self.evacuations.covers(&self.identity.data_centre);
+        let is_evacuated = self.evacuations.covers(&self.mesh.identity().data_centre);
         if is_evacuated != self.host.is_evacuated() {
             log::info!(evacuated = is_evacuated, offset = state.next(), from:% = from, running = self.host.running(); "evacuation");
         }
@@ -303,25 +254,9 @@
     /// Links to the entries that the roster wants, and to no others.
     fn keep_links(&mut self, now: Duration) {
         let host = &self.host;
-        let steps = self.roster.poll(now, |entry| host.has_tasks(entry));
-        for step in steps {
-            self.step(step);
-        }
-    }
-
-    fn step(&mut self, step: Step) {
-        match step {
-            Step::Dial(address) => {
-                let (me, key) = (self.identity.clone(), self.key.clone());
-                let dialer = Dialer::new(address, None, me, key, self.events.clone());
-                self.dialers.insert(address, dialer);
-            }
-            Step::Drop(address) => {
-                log::info!(address:% = address; "not linked any more");
-                self.dialers.remove(&address);
-            }
-            Step::Retire(entry) => self.retire(&entry, true),
-            Step::Resume(entry) => self.retire(&entry, false),
+        let retired = self.mesh.poll(now, |entry| host.has_tasks(entry));
+        for Retired { entry, is_retired } in retired {
+            self.retire(&entry, is_retired);
         }
     }
 
--- a/crates/cassiarock-dispatch/src/entry.rs
+++ b/crates/cassiarock-dispatch/src/entry.rs
@@ -3,6 +3,7 @@
 use crate::learned::Record;
 use crate::line::tell;
 use crate::links::send;
+use crate::mesh::Mesh;
 use crate::packed::{pack, unpack};
 use cassiarock_adapter::callers::Call;
 use cassiarock_adapter::{Store, configuration};
@@ -19,6 +20,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::convert::Infallible;
 use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{oneshot, watch};
@@ -37,6 +39,8 @@
     Configuration(Name),
     /// The data centres to empty, from the store.
     Evacuations(evacuation::State),
+    /// Another entry takes links there.
+    Entry(SocketAddr),
     /// What has changed in the directory of entries, from the store.
     Directory(directory::Update),
     /// What is on record of callers; asks for what this entry knows.
@@ -65,8 +69,8 @@
     pub(crate) status: watch::Sender<Status>,
     /// Where other entries take links, as they said.
     pub(crate) entries: BTreeSet<Place>,
-    /// Where entries take links, as they have announced.
-    pub(crate) directory: directory::State,
+    /// Links to other entries.
+    pub(crate) mesh: Mesh,
     pub(crate) beat: Duration,
     /// Since when data centres are known to be emptied.
     pub(crate) evacuated: BTreeMap<Name, Wall>,
@@ -115,6 +119,8 @@
         }
         let actions = self.scheduler.poll(now);
         self.carry_out(actions);
+        // Tasks go over links with agents alone, so that an entry is told of no end of its links.
+        self.mesh.poll(now, |_| false);
         self.beat_entries(now);
         self.report(now);
         Ok(self.scheduler.wake(now).saturating_sub(now))
@@ -134,6 +140,10 @@
                 self.evacuate(&state, "the store");
                 Vec::new()
             }
+            Input::Entry(address) => {
+                self.mesh.meet_seed(address);
+                Vec::new()
+            }
             Input::Directory(update) => {
                 self.direct(&update);
                 Vec::new()
@@ -217,13 +227,14 @@
             Event::Up(link) => {
                 let peer = link.peer.clone();
                 log::info!(dependency:% = peer.process, role:? = peer.role; "link opened");
+                self.mesh.up(&link);
                 self.links.open(link);
                 self.tell_evacuations(&peer.process);
                 match peer.role {
                     Role::Agent => {
                         self.scheduler.link(&peer.process, &peer.data_centre, now);
                         self.tell_entries(&peer.process);
-                        let version = Message::Directory(self.directory.version());
+                        let version = Message::Directory(self.mesh.directory().version());
                         send(&self.links, &peer.process, version);
                     }
                     Role::Entry => self.meet(&peer),
@@ -235,6 +246,7 @@
             Event::Frame(peer, Frame::Transient(message)) => self.message(&peer, message, now),
             Event::Frame(..) => Vec::new(),
             Event::Down(peer, serial) => {
+                self.mesh.down(serial, now);
                 if self.links.close(&peer.process, serial) {
                     log::warn!(dependency:% = peer.process, role:? = peer.role; "link lost");
                     self.scheduler.unlink(&peer.process);
@@ -272,7 +284,7 @@
                 Vec::new()
             }
             (Role::Agent, Message::AskDirectory) => {
-                let all = Message::Directory(self.directory.all());
+                let all = Message::Directory(self.mesh.directory().all());
                 send(&self.links, &peer.process, all);
                 Vec::new()
             }
@@ -322,14 +334,12 @@
 
     /// Takes what has changed in the directory of entries and passes it on to agents.
     fn direct(&mut self, update: &directory::Update) {
-        let taken = self.directory.take(update);
-        let Taken::Changed { added, removed } = taken else {
+        if !matches!(self.mesh.direct(update), Taken::Changed { .. }) {
             return;
-        };
-        log::info!(added = added, removed = removed.len(), offset = update.next; "directory of entries");
+        }
         // An agent that lacks what came before asks for all of it.
         let news = if update.since == 0 {
-            self.directory.version()
+            self.mesh.directory().version()
         } else {
             update.clone()
         };
--- a/crates/cassiarock-dispatch/src/lib.rs
+++ b/crates/cassiarock-dispatch/src/lib.rs
@@ -8,6 +8,7 @@
 mod learned;
 mod line;
 mod links;
+mod mesh;
 mod operator;
 mod orders;
 mod packed;
--- a/crates/cassiarock-dispatch/src/run/agent.rs
+++ b/crates/cassiarock-dispatch/src/run/agent.rs
@@ -1,20 +1,19 @@
 //! An agent from its settings to its end.
 
-use super::{FLUSH, KEY, bind, identity, leave, monitor, serve};
+use super::{FLUSH, KEY, bind, identity, leave, monitor, seed, serve};
 use crate::agent::{Agent, Batch, Input};
+use crate::mesh::Mesh;
 use crate::orders::Orders;
 use crate::reload::reload;
 use crate::{Error, directory};
 use cassiarock_adapter::{Settings, Store, Worker, reports};
 use cassiarock_id::{Process, Wall};
-use cassiarock_peer::{Event, Identity, Key, Links};
+use cassiarock_peer::{Key, Links};
 use cassiarock_process::{BACKLOG, Clock, Parts, Pump, Report, Stage, Status, forward, until};
-use cassiarock_transient::directory::State;
 use cassiarock_transient::roster::Roster;
 use cassiarock_transient::{Host, evacuation};
 use cassiarock_wire::Role;
 use kameo::actor::Spawn;
-use std::collections::HashMap;
 use std::path::PathBuf;
 use tokio::sync::{mpsc, watch};
 
@@ -64,7 +63,9 @@
         let first = Status::new(process, "agent", settings.data_centre.clone());
         let (status, statuses) = watch::channel(first);
         let orders = Orders::new(Worker::new(upstream)?, inputs.clone());
-        let actor = Agent::spawn(new(identity, events, orders.clone(), status));
+        let roster = Roster::new(identity.process.name.clone());
+        let mesh = Mesh::new(roster, identity, Key::new(KEY), events);
+        let actor = Agent::spawn(new(mesh, orders.clone(), status));
 
         let mut parts = Parts::default();
         parts.spawn_vital(
@@ -81,10 +82,7 @@
             forward(addresses, inputs.clone(), Input::Entry),
         );
         parts.spawn_vital("looks at the upstream", orders.look());
-        for seed in &settings.seeds {
-            // The actor takes inputs as long as its task runs.
-            let _ = inputs.send(Input::Entry(*seed)).await;
-        }
+        parts.spawn("seeds", seed(settings.seeds.clone(), found.clone()));
         parts.spawn(
             "changes of the settings",
             reload(file, settings.clone(), found),
@@ -114,24 +112,14 @@
     }
 }
 
-fn new(
-    identity: Identity,
-    events: mpsc::Sender<Event>,
-    orders: Orders,
-    status: watch::Sender<Status>,
-) -> Agent {
+fn new(mesh: Mesh, orders: Orders, status: watch::Sender<Status>) -> Agent {
     Agent {
         host: Host::new(),
         clock: Clock::new(),
         links: Links::new(),
-        roster: Roster::new(identity.process.name.clone()),
-        dialers: HashMap::new(),
-        identity,
-        key: Key::new(KEY),
-        events,
+        mesh,
         orders,
         status,
-        directory: State::default(),
         ahead: None,
         asked: None,
         evacuations: evacuation::State::default(),
--- a/crates/cassiarock-dispatch/src/run/entry.rs
+++ b/crates/cassiarock-dispatch/src/run/entry.rs
@@ -1,24 +1,25 @@
 //! An entry from its settings to its end.
 
-use super::{FLUSH, KEY, bind, identity, leave, monitor};
+use super::{FLUSH, KEY, bind, identity, leave, monitor, seed};
 use crate::entry::{Batch, Entry, Input};
+use crate::mesh::Mesh;
 use crate::reload::reload;
 use crate::{Error, directory, learned, operator};
 use cassiarock_adapter::callers::{self, Door};
 use cassiarock_adapter::{Settings, Store};
 use cassiarock_caller::Limit;
 use cassiarock_id::{Process, Wall};
-use cassiarock_peer::{Dialer, Event, Identity, Key, Links, Listener};
+use cassiarock_peer::{Key, Links, Listener};
 use cassiarock_process::{
     BACKLOG, Clock, Fault, Parts, Pump, Report, Stage, Status, forward, until,
 };
-use cassiarock_transient::directory::{Place, State};
+use cassiarock_transient::directory::Place;
 use cassiarock_transient::lag::Lag;
+use cassiarock_transient::roster::{PEERS, Roster};
 use cassiarock_transient::{Scheduler, Table};
 use cassiarock_wire::Role;
 use kameo::actor::Spawn;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -95,7 +96,9 @@
         let first = Status::new(process.clone(), "entry", settings.data_centre.clone());
         let (status, statuses) = watch::channel(first);
         let (table, tables) = watch::channel(None);
-        let actor = Entry::spawn(new(table, status, store.clone()));
+        let roster = Roster::new(process.name.clone()).with_links(PEERS);
+        let mesh = Mesh::new(roster, identity.clone(), Key::new(KEY), events.clone());
+        let actor = Entry::spawn(new(mesh, table, status, store.clone()));
 
         let mut parts = Parts::default();
         parts.spawn_vital(
@@ -106,21 +109,15 @@
             }),
         );
         let key = Key::new(KEY);
-        parts.spawn_vital(
-            "the listener for links",
-            links.run(identity.clone(), key, events.clone()),
-        );
+        parts.spawn_vital("the listener for links", links.run(identity, key, events));
         parts.spawn("news of links", forward(seen, inputs.clone(), Input::Link));
         parts.spawn("calls", pass_on(asking, inputs.clone(), Input::Call));
-        for seed in &settings.seeds {
-            // Its receiver is held by the dialling task.
-            let _ = seeds.try_send(*seed);
-        }
+        parts.spawn("seeds", seed(settings.seeds.clone(), seeds.clone()));
         parts.spawn(
             "changes of the settings",
             reload(file, settings.clone(), seeds),
         );
-        parts.spawn("links to entries", dial(seeded, identity, events));
+        parts.spawn("addresses", forward(seeded, inputs.clone(), Input::Entry));
         let place = Place::new(settings.peers.to_string(), settings.data_centre.clone());
         let (changes, changed) = mpsc::unbounded_channel();
         parts.spawn_vital(
@@ -183,6 +180,7 @@
 }
 
 fn new(
+    mesh: Mesh,
     table: watch::Sender<Option<Arc<Table>>>,
     status: watch::Sender<Status>,
     store: Store,
@@ -198,7 +196,7 @@
         table,
         status,
         entries: BTreeSet::new(),
-        directory: State::default(),
+        mesh,
         beat: Duration::ZERO,
         evacuated: BTreeMap::new(),
     }
@@ -217,22 +215,6 @@
     }
 }
 
-/// Keeps a link to each other entry that is told.
-async fn dial(
-    mut seeds: mpsc::Receiver<SocketAddr>,
-    identity: Identity,
-    events: mpsc::Sender<Event>,
-) {
-    let mut dialers: HashMap<SocketAddr, Dialer> = HashMap::new();
-    while let Some(seed) = seeds.recv().await {
-        if *identity.address != *seed.to_string() {
-            dialers.entry(seed).or_insert_with(|| {
-                Dialer::new(seed, None, identity.clone(), Key::new(KEY), events.clone())
-            });
-        }
-    }
-}
-
 async fn serve(listener: TcpListener, router: axum::Router, mut closing: watch::Receiver<Stage>) {
     let limit = Limit {
         receive: IDLE,
--- a/crates/cassiarock-dispatch/src/run/mod.rs
+++ b/crates/cassiarock-dispatch/src/run/mod.rs
@@ -16,7 +16,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 
 /// The platform's settings hold no secret. The key keeps processes of other systems apart
 /// that dial by mistake; it is no protection against an attacker on the platform's network.
@@ -25,6 +25,9 @@
 /// What is kept of the time to leave for the last answers to go out.
 const LAST: Duration = Duration::from_millis(300);
 
+/// How long a process that starts waits for the directory of entries before it dials its seeds.
+const DIRECTED: Duration = Duration::from_millis(300);
+
 /// How long answers and ends that have been decided take to leave the sockets.
 const FLUSH: Duration = Duration::from_millis(100);
 
@@ -52,6 +55,17 @@
     }
 }
 
+/// Tells the seeds, once the directory has had time to tell all entries. Those that dial seeds
+/// keep the links for a while: at the start of many processes the few seeds would carry a link
+/// with each.
+async fn seed(seeds: Vec<SocketAddr>, found: mpsc::Sender<SocketAddr>) {
+    tokio::time::sleep(DIRECTED).await;
+    for seed in seeds {
+        // The process may be ending.
+        let _ = found.send(seed).await;
+    }
+}
+
 async fn bind(address: SocketAddr) -> Result<TcpListener, Error> {
     let bound = TcpListener::bind(address).await;
     let bound = bound.map_err(|source| cassiarock_adapter::Error::Bind { address, source });
--- a/crates/cassiarock-transient/src/roster.rs
+++ b/crates/cassiarock-transient/src/roster.rs
@@ -1,4 +1,4 @@
-//! Which entries an agent links to.
+//! Which entries an agent links to, and which others an entry.
 //!
 //! The load that this answers is that of the links themselves: each takes a heartbeat each way
 //! every 100 ms where nothing else is said. Where each agent was linked to each of 64 entries,
@@ -16,14 +16,15 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// Links of an entry to others: all are reached over few of them in turn, at any number of
+/// entries. They carry configurations and operators' orders where the store brings none.
+pub const PEERS: usize = 4;
+
 /// Links of an agent. Up to so many entries are all linked. With four agents to an entry, as
 /// at the users' sites, an entry has 48 agents; one that has by chance half of that still has
 /// room for 200 tasks.
 pub const LINKS: usize = 12;
 
-/// Links to entries of the agent's own data centre that come first.
-const NEAR: usize = LINKS / 2;
-
 /// Addresses that are remembered; the aim is some 600 entries.
 const ENTRIES: usize = 4_096;
 
@@ -58,10 +59,12 @@
     Resume(Process),
 }
 
-/// The entries that an agent knows, and its links to some of them.
+/// The entries that a process knows, and its links to some of them.
 #[derive(Clone, Debug)]
 pub struct Roster {
-    agent: Name,
+    owner: Name,
+    /// How many links are wanted.
+    links: usize,
     entries: BTreeMap<Rank, Entry>,
     ranks: BTreeMap<SocketAddr, Rank>,
     checked: Option<Duration>,
@@ -96,7 +99,7 @@
 }
 
 impl Roster {
-    /// The roster of an agent with this name, without entries.
+    /// The roster of a process with this name, without entries.
     ///
     /// ```
     /// use cassiarock_transient::roster::{Roster, Step};
@@ -109,15 +112,22 @@
     /// # Ok::<_, std::net::AddrParseError>(())
     /// ```
     #[must_use]
-    pub fn new(agent: impl Into<Name>) -> Self {
+    pub fn new(owner: impl Into<Name>) -> Self {
         Self {
-            agent: agent.into(),
+            owner: owner.into(),
+            links: LINKS,
             entries: BTreeMap::new(),
             ranks: BTreeMap::new(),
             checked: None,
         }
     }
 
+    /// The same with this many links.
+    #[must_use]
+    pub fn with_links(self, links: usize) -> Self {
+        Self { links, ..self }
+    }
+
     /// An entry takes links there, in the agent's own data centre or, as far as is known, not.
     /// Answers whether that is news; not if too many are known.
     pub fn tell(&mut self, address: SocketAddr, is_near: bool) -> bool {
@@ -130,7 +140,7 @@
             return false;
         }
         let mut hasher = DefaultHasher::new();
-        (&self.agent, address).hash(&mut hasher);
+        (&self.owner, address).hash(&mut hasher);
         let rank = (hasher.finish(), address);
         self.ranks.insert(address, rank);
         let seat = Seat::Known;
@@ -204,8 +214,8 @@
     fn wanted(&self, now: Duration) -> BTreeSet<Rank> {
         let mut wanted = Wanted::default();
         let near = self.entries.iter().filter(|(_, entry)| entry.is_near);
-        wanted.fill(NEAR, near, now);
-        wanted.fill(LINKS, self.entries.iter(), now);
+        wanted.fill(self.links / 2, near, now);
+        wanted.fill(self.links, self.entries.iter(), now);
         wanted.ranks
     }
 }
--- a/crates/cassiarock-transient/tests/roster.rs
+++ b/crates/cassiarock-transient/tests/roster.rs
@@ -3,7 +3,7 @@
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 use cassiarock_id::Process;
-use cassiarock_transient::roster::{LINKS, Roster, Step};
+use cassiarock_transient::roster::{LINKS, PEERS, Roster, Step};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -13,7 +13,9 @@
 }
 
 fn address(number: usize) -> SocketAddr {
-    SocketAddr::from(([10, 0, 0, u8::try_from(number).unwrap()], 7_000))
+    let (high, low) = (number / 250, number % 250);
+    let byte = |part| u8::try_from(part).unwrap();
+    SocketAddr::from(([10, 0, byte(high), byte(low)], 7_000))
 }
 
 /// An agent among entries that answer, unless they are down.
@@ -320,3 +322,53 @@
     let near = (30..36).filter(|number| world.linked.contains_key(&address(*number)));
     assert_eq!(near.count(), 6);
 }
+
+/// The links between so many entries in three data centres, by who dials whom.
+fn mesh(entries: usize) -> Vec<BTreeSet<usize>> {
+    let dials = |owner: usize| {
+        let mut roster = Roster::new(format!("entry-{owner}")).with_links(PEERS);
+        for other in (0..entries).filter(|other| *other != owner) {
+            roster.tell(address(other), other % 3 == owner % 3);
+        }
+        let steps = roster.poll(ms(0), |_| false);
+        let dialled = steps.iter().map(|step| match step {
+            Step::Dial(at) => (0..entries).find(|other| address(*other) == *at).unwrap(),
+            step => panic!("{step:?}"),
+        });
+        dialled.collect()
+    };
+    (0..entries).map(dials).collect()
+}
+
+/// How many steps over links it takes from one entry to the last of all.
+fn steps_to_all(mesh: &[BTreeSet<usize>]) -> usize {
+    let mut reached = BTreeSet::from([0]);
+    let mut steps = 0;
+    while reached.len() < mesh.len() {
+        let before = reached.clone();
+        for (owner, dials) in mesh.iter().enumerate() {
+            for other in dials {
+                if before.contains(&owner) || before.contains(other) {
+                    reached.extend([owner, *other]);
+                }
+            }
+        }
+        assert!(reached.len() > before.len(), "some are reached by nobody");
+        steps += 1;
+    }
+    steps
+}
+
+// Each entry kept a link to each of the three seeds, which had a link with every other entry: in
+// a fleet of 183 their heartbeats took four fifths of the processor share of a small one.
+#[test]
+fn the_links_of_an_entry_do_not_grow_with_the_number_of_entries() {
+    for entries in [55, 183, 600] {
+        let mesh = mesh(entries);
+        let dialled_by = |entry: usize| mesh.iter().filter(|dials| dials.contains(&entry)).count();
+        let most = (0..entries).map(|entry| PEERS + dialled_by(entry)).max();
+        assert!(most <= Some(5 * PEERS), "{most:?} links among {entries}");
+        let steps = steps_to_all(&mesh);
+        assert!(steps <= 6, "{steps} steps among {entries}");
+    }
+}
--- a/tests/platform/directory.rs
+++ b/tests/platform/directory.rs
@@ -2,6 +2,7 @@
 
 use crate::site::{DIRECTORY as TOPIC, Site};
 use cassiarock_test_support::log::Stand;
+use cassiarock_transient::roster::PEERS;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::TcpListener;
 use tokio::time::timeout;
@@ -117,3 +118,24 @@
     let dialled = timeout(SOON, listener.accept()).await;
     assert!(dialled.is_ok());
 }
+
+// The seeds, three at most, had a link with each other entry for good.
+#[tokio::test]
+async fn entries_link_to_a_few_others_and_not_all_to_the_seeds() {
+    const ENTRIES: usize = 16;
+    let site = Site::start_entries(ENTRIES).await;
+    let opened = |entry: &crate::site::Entry| {
+        let output = entry.process.output();
+        let lines = output.lines().filter(|line| line.contains("link opened"));
+        lines.count()
+    };
+    let all = timeout(SOON, async {
+        while site.entries.iter().any(|entry| opened(entry) < PEERS) {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    });
+    assert!(all.await.is_ok(), "each has its links");
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let links: Vec<usize> = site.entries.iter().map(opened).collect();
+    assert!(links.iter().all(|count| *count < ENTRIES - 1), "{links:?}");
+}
--- a/tests/platform/site.rs
+++ b/tests/platform/site.rs
@@ -158,7 +158,8 @@
         for number in 0..entries {
             let door = site.store.door().await.unwrap();
             // What an entry announces leads past its proxy.
-            door.with_fault(|fault| fault.lacks = Some(DIRECTORY));
+            let lacks = (agents > 0).then_some(DIRECTORY);
+            door.with_fault(|fault| fault.lacks = lacks);
             let seeds: &[String] = if are_entries_linked { &seeds } else { &[] };
             site.entries.push(Entry::start(number, ports, door, seeds));
         }
