--- a/crates/cassiarock-transient/src/host/lives.rs
+++ b/crates/cassiarock-transient/src/host/lives.rs
@@ -9,8 +9,8 @@
 use crate::{Decision, Life};
 use std::time::Duration;
 
-/// What a fence rises by that the upstream has turned away as too low, in milliseconds: an hour,
-/// as fences are times.
+/// What a fence rises by that the upstream has turned away as too low, in milliseconds: an hour, as
+/// fences are times, and twice as much each further time.
 const FENCE_STEP: u64 = 3_600_000;
 
 /// What a report says of the upstream's life.
@@ -224,7 +224,9 @@
         if !self.is_of(life) {
             return Vec::new();
         }
-        self.fence = self.fence.saturating_add(FENCE_STEP);
+        let step = self.fence_step.max(FENCE_STEP);
+        self.fence = self.fence.saturating_add(step);
+        self.fence_step = step.saturating_mul(2);
         let told = Decision::new("fence raised", "", "")
             .with("upstream", life)
             .with("fence", self.fence);
--- a/crates/cassiarock-transient/src/host/mod.rs
+++ b/crates/cassiarock-transient/src/host/mod.rs
@@ -66,6 +66,8 @@
     since: Duration,
     /// What orders to the upstream carry; it rises from life to life.
     fence: u64,
+    /// What the fence rises by if it is turned away once more.
+    fence_step: u64,
     /// Ends of the upstream up to this number have been taken.
     seen: u64,
     /// Whether the upstream has been looked at in its present life. Until then an earlier
--- a/crates/cassiarock-transient/tests/host/births.rs
+++ b/crates/cassiarock-transient/tests/host/births.rs
@@ -236,4 +236,11 @@
     assert!(world.host.fence() > before);
     let former = world.host.fenced(&born(7));
     assert!(former.is_empty());
+    // A start that lay ten years ahead is reached within a second of polls.
+    let ten_years = 10 * 365 * 24 * 3_600_000_u64;
+    let tries = (0..).find(|_| {
+        world.host.fenced(&life);
+        world.host.fence() > before + ten_years
+    });
+    assert!(tries.is_some_and(|tries| tries < 20), "{tries:?}");
 }
