Send heartbeats of quiet links together

A heartbeat that is due within 30 ms now goes along with one that is due: 60 wake-ups in two seconds at the most. Heartbeats come earlier, never later.

--- a/crates/cassiarock-transient/src/host/entries.rs
+++ b/crates/cassiarock-transient/src/host/entries.rs
@@ -7,6 +7,9 @@
 use cassiarock_id::Process;
 use std::time::Duration;
 
+/// A heartbeat that is due within this time goes along with one that is due now.
+const EARLY: Duration = Duration::from_millis(30);
+
 /// An entry that has been told of the room within this time knows enough of it.
 const LATELY: Duration = Duration::from_millis(10);
 
@@ -91,14 +94,17 @@
 
     /// A heartbeat to each entry that has been told nothing for a while. Ends carry the same,
     /// so that under load few are needed.
+    ///
+    /// The load that this answers is that of quiet links: with a time of its own for each, an
+    /// agent woke up for every heartbeat that it sent.
     pub(super) fn broadcast(&mut self, now: Duration, actions: &mut Vec<Action>) {
-        let due = |owner: &Owner| owner.is_linked && now >= owner.told + BEAT;
-        let due: Vec<Process> = self
-            .owners
-            .iter()
-            .filter(|(_, owner)| due(owner))
-            .map(|(entry, _)| entry.clone())
-            .collect();
+        let linked = self.owners.iter().filter(|(_, owner)| owner.is_linked);
+        let silent = |owner: &Owner| now.saturating_sub(owner.told);
+        if linked.clone().all(|(_, owner)| silent(owner) < BEAT) {
+            return;
+        }
+        let due = linked.filter(|(_, owner)| silent(owner) + EARLY >= BEAT);
+        let due: Vec<Process> = due.map(|(entry, _)| entry.clone()).collect();
         for entry in due {
             self.beat(&entry, now, actions);
         }
--- a/crates/cassiarock-transient/tests/host/polls.rs
+++ b/crates/cassiarock-transient/tests/host/polls.rs
@@ -1,8 +1,11 @@
-//! How long polls of the upstream wait.
+//! What an agent does while nothing happens: how long polls of the upstream wait, and how often it
+//! wakes up.
 
 use crate::world::{World, ms};
+use cassiarock_transient::Message;
+use cassiarock_transient::host::Action;
 use cassiarock_transient::message::End;
-use cassiarock_transient::timing::{LEASE, SILENCE};
+use cassiarock_transient::timing::{BEAT, LEASE, SILENCE};
 
 // An upstream that runs nothing was polled as often as a busy one, 22 times a second: most of what
 // its agent spent.
@@ -36,3 +39,30 @@
     world.report("u-2", 1);
     assert!(world.host.wait() < idle);
 }
+
+// Each of twelve quiet links had a time of its own for heartbeats, so that an agent without any
+// work woke up 120 times a second to send them.
+#[test]
+fn heartbeats_of_quiet_links_go_out_together() {
+    let mut world = World::new();
+    for number in 2..=12 {
+        world.now += ms(8);
+        world.link(number);
+        world.poll();
+    }
+    let end = world.now + ms(2_000);
+    let (mut wakes, mut beats) = (0, 0);
+    while world.now < end {
+        let next = world.host.wake(world.now).max(world.now + ms(1));
+        assert!(next <= world.now + BEAT, "none is late");
+        world.now = next;
+        let actions = world.host.poll(world.now);
+        let sent = actions
+            .iter()
+            .filter(|action| matches!(action, Action::Send(_, Message::AgentBeat { .. })));
+        beats += sent.count();
+        wakes += 1;
+    }
+    assert!(wakes <= 60, "{wakes} in two seconds");
+    assert!((240..=360).contains(&beats), "{beats} in two seconds");
+}
