--- a/crates/cassiarock-dispatch/src/agent.rs
+++ b/crates/cassiarock-dispatch/src/agent.rs
@@ -10,7 +10,7 @@
 use cassiarock_peer::{Event, Links};
 use cassiarock_process::{Clock, Status};
 use cassiarock_transient::directory::Taken;
-use cassiarock_transient::host::{Action, Answer, Look, Task};
+use cassiarock_transient::host::{Action, Answer, Snapshot, Task};
 use cassiarock_transient::{Host, Life, Message, directory, evacuation};
 use cassiarock_wire::{Frame, Hello};
 use kameo::Actor;
@@ -23,10 +23,10 @@
 /// An entry that was asked for the directory has answered within this time.
 const ASK_AGAIN: Duration = Duration::from_millis(300);
 
-/// What a look asks for.
+/// What a poll asks for.
 #[derive(Clone, Debug)]
-pub(crate) struct Glance {
-    /// The life of the upstream to look at.
+pub(crate) struct Poll {
+    /// The life of the upstream to poll.
     pub(crate) target: Target,
     /// The last end taken.
     pub(crate) seen: u64,
@@ -38,7 +38,7 @@
     pub(crate) asked: Duration,
 }
 
-impl Glance {
+impl Poll {
     /// The same, for an upstream that has left an answer out: it may have started again under its
     /// id. A lease by the clock of its former life would reach far too long in the new one, and
     /// the number of an end there says nothing of the new one's.
@@ -75,10 +75,10 @@
     Started(Life, Task, Answer, Option<u64>),
     /// A life of the upstream answered a stop.
     Stopped(Life, Task, Option<u64>),
-    /// What shall the next look ask for? None without an upstream.
-    Glance(oneshot::Sender<Option<Glance>>),
-    /// What a look showed.
-    Look(Look),
+    /// What shall the next poll ask for? None without an upstream.
+    Poll(oneshot::Sender<Option<Poll>>),
+    /// What a poll showed.
+    Snapshot(Snapshot),
     /// This life of the upstream is gone; another one answers.
     Gone(Life),
     /// This life of the upstream has seen a higher fence than this agent's.
@@ -145,12 +145,12 @@
                 self.host.started(&life, &task, answer, clock, now)
             }
             Input::Stopped(life, task, clock) => self.host.stopped(&life, &task, clock, now),
-            Input::Glance(reply) => {
-                // The looks end with the process.
-                let _ = reply.send(self.glance(now));
+            Input::Poll(reply) => {
+                // The polls end with the process.
+                let _ = reply.send(self.next_poll(now));
                 Vec::new()
             }
-            Input::Look(look) => self.host.look(&look, now),
+            Input::Snapshot(snapshot) => self.host.observe(&snapshot, now),
             Input::Leave => {
                 self.status.send_modify(|status| status.leaving = true);
                 self.host.leave()
@@ -158,9 +158,9 @@
         }
     }
 
-    fn glance(&mut self, now: Duration) -> Option<Glance> {
+    fn next_poll(&mut self, now: Duration) -> Option<Poll> {
         let target = self.target().filter(|_| !self.is_upstream_gone())?;
-        Some(Glance {
+        Some(Poll {
             target,
             seen: self.host.seen(now),
             until: self.host.renew(now),
@@ -280,10 +280,10 @@
                         self.orders.stop(target, task);
                     }
                 }
-                Action::Look => {
+                Action::Poll => {
                     let now = self.clock.now().up;
-                    if let Some(glance) = self.glance(now) {
-                        self.orders.look_now(glance);
+                    if let Some(poll) = self.next_poll(now) {
+                        self.orders.poll_now(poll);
                     }
                 }
                 Action::Tell(decision) => tell(&decision),
--- a/crates/cassiarock-dispatch/src/orders.rs
+++ b/crates/cassiarock-dispatch/src/orders.rs
@@ -1,6 +1,6 @@
-//! Carries orders to the upstream and looks at it.
+//! Carries orders to the upstream and polls it.
 
-use crate::agent::{Glance, Input};
+use crate::agent::{Input, Poll};
 use cassiarock_adapter::Worker;
 use cassiarock_adapter::worker::{CONNECTIONS, Fault, Target};
 use cassiarock_id::Name;
@@ -10,7 +10,7 @@
 use std::time::Duration;
 use tokio::sync::{Semaphore, mpsc, oneshot};
 
-/// The pause after a look that failed at once: nothing listens there.
+/// The pause after a poll that failed at once: nothing listens there.
 const PAUSE: Duration = Duration::from_millis(20);
 
 /// The pause while no upstream is known.
@@ -109,34 +109,34 @@
         });
     }
 
-    /// Looks at the upstream without waiting for an end.
-    pub(crate) fn look_now(&self, glance: Glance) {
+    /// Polls the upstream without waiting for an end.
+    pub(crate) fn poll_now(&self, poll: Poll) {
         let this = self.clone();
         tokio::spawn(async move {
             // The semaphore is never closed.
             let _permit = this.free.acquire().await;
-            this.look_once(glance.without_wait()).await;
+            this.poll_once(poll.without_wait()).await;
         });
     }
 
-    /// Looks at the upstream, one look after the other, until the process ends.
-    pub(crate) async fn look(self) {
+    /// Polls the upstream, one poll after the other, until the process ends.
+    pub(crate) async fn poll(self) {
         let mut lost: Option<tokio::time::Instant> = None;
         loop {
-            let (reply, glance) = oneshot::channel();
-            if self.inputs.send(Input::Glance(reply)).await.is_err() {
+            let (reply, poll) = oneshot::channel();
+            if self.inputs.send(Input::Poll(reply)).await.is_err() {
                 return;
             }
-            let Ok(Some(glance)) = glance.await else {
+            let Ok(Some(poll)) = poll.await else {
                 tokio::time::sleep(IDLE).await;
                 continue;
             };
-            let glance = if lost.is_some() {
-                glance.without_renewal()
+            let poll = if lost.is_some() {
+                poll.without_renewal()
             } else {
-                glance
+                poll
             };
-            let is_answered = self.look_once(glance).await;
+            let is_answered = self.poll_once(poll).await;
             match (is_answered, lost) {
                 (true, Some(since)) => {
                     let away_ms = since.elapsed().as_millis() as u64;
@@ -152,20 +152,20 @@
         }
     }
 
-    async fn look_once(&self, glance: Glance) -> bool {
-        let Glance {
+    async fn poll_once(&self, poll: Poll) -> bool {
+        let Poll {
             target,
             seen,
             until,
             wait,
             asked,
-        } = glance;
-        let look = self
+        } = poll;
+        let snapshot = self
             .worker
-            .look(&target, seen, until, wait, self.limit(), asked)
+            .poll(&target, seen, until, wait, self.limit(), asked)
             .await;
-        let (is_answered, input) = match look {
-            Ok(look) => (true, Input::Look(look)),
+        let (is_answered, input) = match snapshot {
+            Ok(snapshot) => (true, Input::Snapshot(snapshot)),
             Err(Fault::OtherLife) => (false, Input::Gone(target.life)),
             Err(Fault::Fenced) => (false, Input::Fenced(target.life)),
             Err(Fault::Call(error)) => {
--- a/crates/cassiarock-dispatch/src/run/agent.rs
+++ b/crates/cassiarock-dispatch/src/run/agent.rs
@@ -81,7 +81,7 @@
             "addresses",
             forward(addresses, inputs.clone(), Input::Entry),
         );
-        parts.spawn_vital("looks at the upstream", orders.look());
+        parts.spawn_vital("polls of the upstream", orders.poll());
         parts.spawn("seeds", seed(settings.seeds.clone(), found.clone()));
         parts.spawn(
             "changes of the settings",
--- a/crates/cassiarock-lab/src/event.rs
+++ b/crates/cassiarock-lab/src/event.rs
@@ -20,8 +20,8 @@
     WakeEntry(usize, u64),
     /// An agent does what is due.
     WakeAgent(usize, u64),
-    /// An agent looks at its upstream, in this life, and again later if it is a regular look.
-    Look(usize, u64, bool),
+    /// An agent polls its upstream, in this life, and again later if it is a regular poll.
+    Poll(usize, u64, bool),
     /// An order reaches the upstream in this life.
     Start(usize, u64, Task),
     /// A stop reaches the upstream in this life.
--- a/crates/cassiarock-lab/src/simulation/agents.rs
+++ b/crates/cassiarock-lab/src/simulation/agents.rs
@@ -14,8 +14,8 @@
 /// A call between an agent and its upstream.
 const CALL: Duration = Duration::from_micros(300);
 
-/// The pause between two regular looks.
-const LOOK: Duration = Duration::from_millis(40);
+/// The pause between two regular polls.
+const POLL: Duration = Duration::from_millis(40);
 
 /// How long a stop takes.
 const STOP: Duration = Duration::from_millis(20);
@@ -89,7 +89,7 @@
         };
         let actions = agent.host.report(worker, self.now);
         self.carry_out_agent(number, actions);
-        self.agenda.add(self.now, Event::Look(number, life, true));
+        self.agenda.add(self.now, Event::Poll(number, life, true));
         self.agenda.add(self.now, Event::WakeAgent(number, life));
         for entry in 0..self.entries.len() {
             if self.entries[entry].is_up {
@@ -150,7 +150,7 @@
         self.carry_out_agent(number, actions);
     }
 
-    pub(super) fn look(&mut self, number: usize, life: u64, is_regular: bool) {
+    pub(super) fn poll(&mut self, number: usize, life: u64, is_regular: bool) {
         if !self.is_life(number, life) {
             return;
         }
@@ -159,12 +159,12 @@
         let _ = agent.host.renew(self.now);
         let upstream = agent.life();
         let seen = agent.host.seen(self.now);
-        let look = agent.upstream.look(upstream, seen, self.now);
-        let actions = agent.host.look(&look, self.now);
+        let snapshot = agent.upstream.snapshot(upstream, seen, self.now);
+        let actions = agent.host.observe(&snapshot, self.now);
         self.carry_out_agent(number, actions);
         if is_regular {
             self.agenda
-                .add(self.now + LOOK, Event::Look(number, life, true));
+                .add(self.now + POLL, Event::Poll(number, life, true));
         }
     }
 
@@ -185,8 +185,8 @@
                     let event = Event::Stop(number, life, task);
                     self.agenda.add(self.now + STOP, event);
                 }
-                Action::Look => {
-                    let event = Event::Look(number, life, false);
+                Action::Poll => {
+                    let event = Event::Poll(number, life, false);
                     self.agenda.add(self.now + CALL, event);
                 }
                 Action::Tell(_) => {}
@@ -263,7 +263,7 @@
         let actions = agent.host.stopped(&upstream, task, clock, self.now);
         self.carry_out_agent(number, actions);
         self.agenda
-            .add(self.now + CALL, Event::Look(number, life, false));
+            .add(self.now + CALL, Event::Poll(number, life, false));
     }
 
     pub(super) fn end_run(&mut self, number: usize, life: u64, run: u64) {
@@ -279,7 +279,7 @@
             *self.tally.done.entry(run.task.job.clone()).or_default() += work;
         }
         self.agenda
-            .add(self.now + CALL, Event::Look(number, life, false));
+            .add(self.now + CALL, Event::Poll(number, life, false));
     }
 
     /// A run is over, however it ended.
--- a/crates/cassiarock-lab/src/simulation/mod.rs
+++ b/crates/cassiarock-lab/src/simulation/mod.rs
@@ -137,7 +137,7 @@
             Event::Frame(frame) => self.deliver(*frame),
             Event::WakeEntry(entry, life) => self.wake_entry(entry, life),
             Event::WakeAgent(agent, life) => self.wake_agent(agent, life),
-            Event::Look(agent, life, is_regular) => self.look(agent, life, is_regular),
+            Event::Poll(agent, life, is_regular) => self.poll(agent, life, is_regular),
             Event::Start(agent, life, task) => self.start_task(agent, life, task),
             Event::Stop(agent, life, task) => self.stop_task(agent, life, &task),
             Event::End(agent, life, run) => self.end_run(agent, life, run),
--- a/crates/cassiarock-lab/src/upstream.rs
+++ b/crates/cassiarock-lab/src/upstream.rs
@@ -1,7 +1,7 @@
 //! A modelled upstream: it guards its room, and runs what it is told.
 
 use cassiarock_id::Name;
-use cassiarock_transient::host::{Answer, Look, Named, Task};
+use cassiarock_transient::host::{Answer, Named, Snapshot, Task};
 use cassiarock_transient::message::End;
 use cassiarock_transient::{Demand, Life};
 use std::collections::BTreeMap;
@@ -72,7 +72,7 @@
     }
 
     /// What an agent sees that has taken the ends up to `seen`.
-    pub(crate) fn look(&mut self, life: Life, seen: u64, now: Duration) -> Look {
+    pub(crate) fn snapshot(&mut self, life: Life, seen: u64, now: Duration) -> Snapshot {
         self.ended.retain(|(number, ..)| *number > seen);
         let named = |task: &Task| -> (Name, Named) {
             let attempt = task.attempt;
@@ -87,7 +87,7 @@
             let (job, attempt) = named(task);
             (*number, job, attempt, *end)
         });
-        Look {
+        Snapshot {
             life,
             clock: millis(now),
             asked: now,
--- a/crates/cassiarock-test-support/src/leased/route.rs
+++ b/crates/cassiarock-test-support/src/leased/route.rs
@@ -23,7 +23,7 @@
     let router = Router::new()
         .route("/v1/run-start", post(start))
         .route("/v1/run-stop", post(stop))
-        .route("/v1/hold", post(look))
+        .route("/v1/hold", post(poll))
         .layer(from_fn_with_state(tasks.clone(), suffer))
         .with_state(tasks);
     let Ok(listener) = tokio::net::TcpListener::from_std(listener) else {
@@ -54,7 +54,7 @@
 
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
-struct Look {
+struct Poll {
     last_seen: u64,
     deadline_ms: Option<u64>,
     #[serde(default)]
@@ -135,23 +135,23 @@
     Json(json!({ "clockMs": tasks.clock() })).into_response()
 }
 
-async fn look(State(tasks): State<Shared>, Json(look): Json<Look>) -> Response {
-    let until = Instant::now() + Duration::from_millis(look.wait_ms);
+async fn poll(State(tasks): State<Shared>, Json(poll): Json<Poll>) -> Response {
+    let until = Instant::now() + Duration::from_millis(poll.wait_ms);
     let mut changed = {
         let mut tasks = lock(&tasks);
-        if !tasks.admit(look.fencing_token) {
+        if !tasks.admit(poll.fencing_token) {
             return fenced(&tasks);
         }
-        tasks.renew(look.deadline_ms);
+        tasks.renew(poll.deadline_ms);
         tasks.changed.subscribe()
     };
-    while !lock(&tasks).has_ended(look.last_seen) {
+    while !lock(&tasks).has_ended(poll.last_seen) {
         if !matches!(timeout_at(until, changed.changed()).await, Ok(Ok(()))) {
             break;
         }
     }
     let mut tasks = lock(&tasks);
-    let (running, ended) = tasks.look(look.last_seen);
+    let (running, ended) = tasks.snapshot(poll.last_seen);
     let running = running.iter().map(|((job, (stage, index)), attempt)| {
         json!([format!("{job}.0.{stage}.{index}"), attempt, "", 0, 1_000])
     });
--- a/crates/cassiarock-test-support/src/leased/state.rs
+++ b/crates/cassiarock-test-support/src/leased/state.rs
@@ -181,7 +181,7 @@
     }
 
     /// Ends up to `seen` are forgotten; the others are listed.
-    pub fn look(&mut self, seen: u64) -> (Vec<(Name, u32)>, Vec<Ended>) {
+    pub fn snapshot(&mut self, seen: u64) -> (Vec<(Name, u32)>, Vec<Ended>) {
         self.ended.retain(|ended| ended.number > seen);
         let running = self.running.iter();
         let running = running.map(|(task, run)| (task.clone(), run.attempt));
--- a/crates/cassiarock-transient/src/host/lease.rs
+++ b/crates/cassiarock-transient/src/host/lease.rs
@@ -12,7 +12,7 @@
 const DRIFT: u64 = 100;
 
 /// An upstream that has answered nothing for this long gets nothing new and is not renewed:
-/// four looks in a row, at 80 ms each if unanswered, have been missed.
+/// four polls in a row, at 80 ms each if unanswered, have been missed.
 const SILENT: Duration = Duration::from_millis(350);
 
 /// What is known of the upstream's clock and of the renewals.
--- a/crates/cassiarock-transient/src/host/lives.rs
+++ b/crates/cassiarock-transient/src/host/lives.rs
@@ -2,7 +2,7 @@
 
 use super::health::Health;
 use super::lease::Lease;
-use super::run::{Look, Run, Task};
+use super::run::{Run, Snapshot, Task};
 use super::worker::Worker;
 use super::{Action, Host};
 use crate::message::End;
@@ -36,7 +36,7 @@
             Verdict::Outdated(reason) => actions.push(ignored(&worker.life(), reason)),
             Verdict::Doubtful => {
                 actions.push(ignored(&worker.life(), "an earlier start"));
-                actions.push(Action::Look);
+                actions.push(Action::Poll);
             }
             Verdict::New => self.begin(worker, "a new upstream", now, &mut actions),
         }
@@ -128,31 +128,31 @@
     /// present life was known.
     pub(super) fn is_present(
         &mut self,
-        look: &Look,
+        snapshot: &Snapshot,
         now: Duration,
         actions: &mut Vec<Action>,
     ) -> bool {
         let Some(known) = self.worker.as_ref().filter(|known| !known.is_gone) else {
             return false;
         };
-        if !known.life().is_other(&look.life) {
-            self.learn_born(look.life.born);
+        if !known.life().is_other(&snapshot.life) {
+            self.learn_born(snapshot.life.born);
             return true;
         }
-        if known.id != look.life.id || look.asked < self.since {
-            actions.push(ignored(&look.life, "an answer of another life"));
+        if known.id != snapshot.life.id || snapshot.asked < self.since {
+            actions.push(ignored(&snapshot.life, "an answer of another life"));
             return false;
         }
         let worker = Worker {
-            born: look.life.born,
-            clock: look.clock,
+            born: snapshot.life.born,
+            clock: snapshot.clock,
             sequence: 0,
             is_leaving: false,
             is_unreported: true,
             ..known.clone()
         };
         self.begin(worker, "it started again under its id", now, actions);
-        actions.push(Action::Look);
+        actions.push(Action::Poll);
         false
     }
 
--- a/crates/cassiarock-transient/src/host/mod.rs
+++ b/crates/cassiarock-transient/src/host/mod.rs
@@ -4,15 +4,15 @@
 mod health;
 mod lease;
 mod lives;
-mod looks;
 mod offer;
 mod orders;
 mod owner;
 mod run;
+mod snapshots;
 mod upstream;
 mod worker;
 
-pub use run::{Answer, Look, Named, Run, Task};
+pub use run::{Answer, Named, Run, Snapshot, Task};
 pub use worker::Worker;
 
 use crate::Decision;
@@ -41,10 +41,10 @@
         /// On the upstream's clock, in milliseconds: after this the order is void.
         until: u64,
     },
-    /// Order the upstream to stop a task; its end comes with a look.
+    /// Order the upstream to stop a task; its end comes with a poll.
     Stop(Task),
-    /// Look at the upstream at once, beside the look that waits.
-    Look,
+    /// Poll the upstream at once, beside the poll that waits.
+    Poll,
     /// A line for the log.
     Tell(Decision),
 }
@@ -104,7 +104,7 @@
         self.runs.len()
     }
 
-    /// The number of the last end taken, for the next look. None counts while the upstream does
+    /// The number of the last end taken, for the next poll. None counts while the upstream does
     /// not answer: if it starts again under its id, it numbers its ends anew.
     #[must_use]
     pub fn seen(&self, now: Duration) -> u64 {
--- a/crates/cassiarock-transient/src/host/orders.rs
+++ b/crates/cassiarock-transient/src/host/orders.rs
@@ -186,7 +186,7 @@
     }
 
     /// A life of the upstream confirmed a stop: the attempt has ended or can never start. If it was
-    /// never seen to run, a look at once tells which, and its entry need not wait.
+    /// never seen to run, a poll at once tells which, and its entry need not wait.
     pub fn stopped(
         &mut self,
         life: &Life,
@@ -205,7 +205,7 @@
         if run.listed {
             return Vec::new();
         }
-        vec![Action::Look]
+        vec![Action::Poll]
     }
 
     /// Stops the tasks of entries that this agent no longer hears, or that no longer hear it:
--- a/crates/cassiarock-transient/src/host/run.rs
+++ b/crates/cassiarock-transient/src/host/run.rs
@@ -81,14 +81,14 @@
     Silent,
 }
 
-/// What a look at the upstream showed.
+/// What the answer to a poll of the upstream showed.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct Look {
+pub struct Snapshot {
     /// The life that answered.
     pub life: Life,
     /// The upstream's clock in milliseconds.
     pub clock: u64,
-    /// When the look was asked for, by the agent's clock.
+    /// When the poll was sent, by the agent's clock.
     pub asked: Duration,
     /// What runs, by job.
     pub running: Vec<(Name, Named)>,
--- a/crates/cassiarock-transient/src/host/looks.rs
+++ b/crates/cassiarock-transient/src/host/snapshots.rs
@@ -1,6 +1,6 @@
-//! What looks at the upstream show: ends, leftovers, lapsed leases.
+//! What polls of the upstream show: ends, leftovers, lapsed leases.
 
-use super::run::{Look, Phase, Task};
+use super::run::{Phase, Snapshot, Task};
 use super::{Action, Host, millis};
 use crate::Decision;
 use crate::message::{End, Ending, Message};
@@ -35,20 +35,20 @@
         }
     }
 
-    /// Until when the next look renews all leases, on the upstream's clock; not at all while
+    /// Until when the next poll renews all leases, on the upstream's clock; not at all while
     /// the upstream does not answer, so that the leases are known to lapse.
     pub fn renew(&mut self, now: Duration) -> Option<u64> {
         (!self.lease.is_silent(now)).then(|| self.lease.renew(now))
     }
 
-    /// What a look at the upstream showed.
-    pub fn look(&mut self, look: &Look, now: Duration) -> Vec<Action> {
+    /// What the answer to a poll of the upstream showed.
+    pub fn observe(&mut self, snapshot: &Snapshot, now: Duration) -> Vec<Action> {
         let mut actions = Vec::new();
-        if !self.is_present(look, now, &mut actions) {
+        if !self.is_present(snapshot, now, &mut actions) {
             return actions;
         }
-        self.lease.hear(Some(look.clock), now);
-        for (number, job, attempt, end) in &look.ended {
+        self.lease.hear(Some(snapshot.clock), now);
+        for (number, job, attempt, end) in &snapshot.ended {
             if *number <= self.seen {
                 continue;
             }
@@ -57,9 +57,9 @@
                 self.end(&task, *end, now, &mut actions);
             }
         }
-        self.reconcile(look, now, &mut actions);
+        self.reconcile(snapshot, now, &mut actions);
         if !self.is_known {
-            self.is_known = look.running.is_empty();
+            self.is_known = snapshot.running.is_empty();
         }
         actions
     }
@@ -67,8 +67,13 @@
     /// Compares what the upstream runs with what was ordered. A task that is there unasked is
     /// a leftover of an earlier life of this agent, or an order that the upstream carried out
     /// seconds late: nobody waits for it, and its entry may have started it elsewhere.
-    pub(super) fn reconcile(&mut self, look: &Look, now: Duration, actions: &mut Vec<Action>) {
-        for (job, attempt) in &look.running {
+    pub(super) fn reconcile(
+        &mut self,
+        snapshot: &Snapshot,
+        now: Duration,
+        actions: &mut Vec<Action>,
+    ) {
+        for (job, attempt) in &snapshot.running {
             match self.runs.named(job, attempt) {
                 Some(task) => {
                     if let Some(run) = self.runs.get_mut(&task) {
@@ -89,17 +94,22 @@
                 }
             }
         }
-        self.end_unlisted(look, now, actions);
+        self.end_unlisted(snapshot, now, actions);
     }
 
     /// An attempt that was stopped, is not listed and whose order is void by now never ran.
-    pub(super) fn end_unlisted(&mut self, look: &Look, now: Duration, actions: &mut Vec<Action>) {
+    pub(super) fn end_unlisted(
+        &mut self,
+        snapshot: &Snapshot,
+        now: Duration,
+        actions: &mut Vec<Action>,
+    ) {
         let void: Vec<Task> =
             self.runs
                 .iter()
                 .filter(|(task, run)| {
-                    let is_void = run.void().is_some_and(|at| at <= look.asked);
-                    let is_listed = look.running.iter().any(|(job, attempt)| {
+                    let is_void = run.void().is_some_and(|at| at <= snapshot.asked);
+                    let is_listed = snapshot.running.iter().any(|(job, attempt)| {
                         *job == task.job && attempt.is_same_start(&task.attempt)
                     });
                     is_void && !is_listed
@@ -165,7 +175,7 @@
             return;
         }
         owner.told = now;
-        // Ends of one look go in one message, with the room after the last of them.
+        // Ends of one poll go in one message, with the room after the last of them.
         if let Some(Action::Send(
             to,
             Message::Ended {
--- a/crates/cassiarock-transient/src/host/upstream.rs
+++ b/crates/cassiarock-transient/src/host/upstream.rs
@@ -10,7 +10,7 @@
 /// A task is overdue after this many times what was expected of it, ...
 const OVERDUE: f64 = 2.5;
 
-/// ... and this much more: estimates are off by 40%, and short tasks by a look's wait.
+/// ... and this much more: estimates are off by 40%, and short tasks by a poll's wait.
 const OVERDUE_LEAST: Duration = Duration::from_millis(120);
 
 /// So many overdue tasks that are half of all that run tell of the upstream, not of the tasks.
--- a/crates/cassiarock-transient/tests/host/births.rs
+++ b/crates/cassiarock-transient/tests/host/births.rs
@@ -13,7 +13,7 @@
 fn running() -> World {
     let mut world = World::new();
     world.report_of(&born(1_000), 40);
-    world.look(&[], &[]);
+    world.observe(&[], &[]);
     world.order(1, "j", 1);
     let (task, _) = world.starts[0].clone();
     world.answer(&task, Answer::Started);
@@ -31,7 +31,7 @@
         Some(End::Crashed),
         "its tasks are placed elsewhere"
     );
-    world.look(&[], &[]);
+    world.observe(&[], &[]);
     world.order(1, "k", 2);
     assert_eq!(world.starts.len(), 2);
 }
@@ -41,13 +41,13 @@
 #[test]
 fn ends_are_counted_anew_in_a_new_life() {
     let mut world = running();
-    world.look(&[], &[(57, "j", 1, End::Done)]);
+    world.observe(&[], &[(57, "j", 1, End::Done)]);
     assert_eq!(world.host.seen(world.now), 57);
     world.report_of(&born(2_000), 1);
     assert_eq!(world.host.seen(world.now), 0);
-    world.look(&[], &[]);
+    world.observe(&[], &[]);
     world.order(1, "k", 2);
-    world.look(&[], &[(1, "k", 2, End::Done)]);
+    world.observe(&[], &[(1, "k", 2, End::Done)]);
     assert_eq!(world.end_of(2), Some(End::Done));
 }
 
@@ -56,7 +56,7 @@
 #[test]
 fn a_poll_of_an_upstream_that_was_silent_forgets_no_end() {
     let mut world = running();
-    world.look(&[], &[(57, "j", 1, End::Done)]);
+    world.observe(&[], &[(57, "j", 1, End::Done)]);
     world.pass(400);
     assert_eq!(world.host.seen(world.now), 0);
     assert_eq!(world.host.renew(world.now), None);
@@ -92,7 +92,7 @@
     world.now += ms(50);
     world.ahead = 0;
     world.report_of(&born(2_000), 1);
-    world.look(&[], &[]);
+    world.observe(&[], &[]);
     world.order(1, "k", 2);
     let (task, _) = world.starts[1].clone();
     world.answer(&task, Answer::Started);
@@ -121,8 +121,8 @@
     let mut world = running();
     world.report_of(&born(900), 5);
     assert_eq!(world.life(), born(1_000));
-    assert_eq!(world.looks, 1);
-    world.look(&[("j", 1)], &[]);
+    assert_eq!(world.polls, 1);
+    world.observe(&[("j", 1)], &[]);
     assert_eq!(world.end_of(1), None);
 }
 
@@ -153,7 +153,7 @@
     let clock = world.clock();
     world.answered(&born(1_000), world.now, clock, &[]);
     world.report_of(&born(1_000), 41);
-    world.look(&[], &[]);
+    world.observe(&[], &[]);
     world.order(1, "k", 2);
     assert_eq!(world.starts.len(), 2);
 }
@@ -167,7 +167,7 @@
     let actions = world.host.replaced(&life, world.now);
     world.take(actions);
     world.report("u-1", 2);
-    world.look(&[], &[]);
+    world.observe(&[], &[]);
     world.order(1, "k", 2);
     assert_eq!(world.starts.len(), 1);
 }
@@ -189,7 +189,7 @@
 fn an_order_under_way_to_a_former_life_is_over_only_when_the_new_one_shows_it() {
     let mut world = World::new();
     world.report_of(&born(1_000), 40);
-    world.look(&[], &[]);
+    world.observe(&[], &[]);
     world.order(1, "j", 1);
     let asked = world.now;
     world.now += ms(50);
--- a/crates/cassiarock-transient/tests/host/lives.rs
+++ b/crates/cassiarock-transient/tests/host/lives.rs
@@ -28,7 +28,7 @@
 fn a_report_of_an_earlier_life_changes_nothing() {
     let mut world = World::new();
     world.report("u-2", 1);
-    world.look(&[], &[]);
+    world.observe(&[], &[]);
     running(&mut world);
     world.report("u-1", 9);
     assert_eq!(world.host.worker().map(|worker| &*worker.id), Some("u-2"));
@@ -41,11 +41,11 @@
 fn a_new_agent_starts_nothing_before_what_its_former_life_left_has_ended() {
     let mut world = World::new();
     world.report("u-2", 1);
-    world.look(&[("left", 1)], &[]);
+    world.observe(&[("left", 1)], &[]);
     assert_eq!(world.stops.len(), 1);
     world.order(1, "j", 1);
     assert_eq!(world.end_of(1), Some(End::Closed));
-    world.look(&[], &[]);
+    world.observe(&[], &[]);
     world.order(1, "j", 2);
     assert_eq!(world.starts.len(), 1);
 }
@@ -59,7 +59,7 @@
     world.order(1, "k", 5);
     assert_eq!(world.end_of(5), Some(End::Closed));
     assert!(world.stops.is_empty());
-    world.look(&[], &[(1, "j", 1, End::Done)]);
+    world.observe(&[], &[(1, "j", 1, End::Done)]);
     assert_eq!(world.end_of(1), Some(End::Done));
 }
 
@@ -101,7 +101,7 @@
 fn the_tasks_of_a_silent_upstream_are_lost_once_their_leases_have_lapsed() {
     let mut world = World::new();
     running(&mut world);
-    world.look(&[("j", 1)], &[]);
+    world.observe(&[("j", 1)], &[]);
     let renewed = world.now;
     while world.end_of(1).is_none() {
         world.now += ms(10);
@@ -122,7 +122,7 @@
     for number in 1..=6 {
         let job = format!("j-{number}");
         world.order(1, &job, 1);
-        world.look(&[], &[(number, &job, 1, End::Failed)]);
+        world.observe(&[], &[(number, &job, 1, End::Failed)]);
     }
     assert_eq!(world.load.failing, 100);
     world.pass(3_200);
@@ -137,7 +137,7 @@
     for number in 1..=6 {
         let attempt = u32::try_from(number).unwrap();
         world.order(1, "poison", attempt);
-        world.look(&[], &[(number, "poison", attempt, End::Failed)]);
+        world.observe(&[], &[(number, "poison", attempt, End::Failed)]);
     }
     assert_eq!(world.load.failing, 0);
 }
@@ -147,7 +147,7 @@
     let mut world = World::new();
     running(&mut world);
     world.host.unlink(&entry(1));
-    world.look(&[], &[(1, "j", 1, End::Done)]);
+    world.observe(&[], &[(1, "j", 1, End::Done)]);
     assert_eq!(world.end_of(1), None);
     world.link(1);
     assert_eq!(world.end_of(1), Some(End::Done));
@@ -162,12 +162,12 @@
         world.order(1, &format!("j-{number}"), 1);
     }
     let names = ["j-0", "j-1", "j-2", "j-3"].map(|job| (job, 1));
-    world.look(&names, &[]);
+    world.observe(&names, &[]);
     world.pass(100);
     assert_eq!(world.load.pace, 100, "within what was expected");
     for _ in 0..4 {
         world.pass(100);
-        world.look(&names, &[]);
+        world.observe(&names, &[]);
     }
     assert!(world.load.pace >= 300, "{}", world.load.pace);
 }
--- a/crates/cassiarock-transient/tests/host/orders.rs
+++ b/crates/cassiarock-transient/tests/host/orders.rs
@@ -13,7 +13,7 @@
     let (task, _) = world.starts[0].clone();
     world.answer(&task, Answer::Started);
     assert_eq!(world.host.running(), 1);
-    world.look(&[], &[(1, "j", 1, End::Done)]);
+    world.observe(&[], &[(1, "j", 1, End::Done)]);
     assert_eq!(world.end_of(1), Some(End::Done));
     assert_eq!(world.load.free.cpu, 10_000);
 }
@@ -56,8 +56,8 @@
     assert_eq!(world.stops, std::slice::from_ref(&task));
     assert_eq!(world.end_of(1), None, "it may run yet");
     let actions = world.stopped(&task);
-    assert_eq!(actions, [Action::Look]);
-    world.look(&[], &[]);
+    assert_eq!(actions, [Action::Poll]);
+    world.observe(&[], &[]);
     assert_eq!(world.end_of(1), Some(End::Refused));
     assert_eq!(world.host.running(), 0);
 }
@@ -106,7 +106,7 @@
 #[test]
 fn what_runs_unasked_is_stopped() {
     let mut world = World::new();
-    world.look(&[("stranger", 3)], &[]);
+    world.observe(&[("stranger", 3)], &[]);
     assert_eq!(world.stops.len(), 1);
     assert_eq!(&*world.stops[0].job, "stranger");
 }
--- a/crates/cassiarock-transient/tests/host/polls.rs
+++ b/crates/cassiarock-transient/tests/host/polls.rs
@@ -16,7 +16,7 @@
     world.order(1, "j", 1);
     let busy = world.host.wait();
     assert!(idle >= busy * 3, "{idle:?} and {busy:?}");
-    world.look(&[], &[(1, "j", 1, End::Done)]);
+    world.observe(&[], &[(1, "j", 1, End::Done)]);
     assert_eq!(world.host.wait(), idle);
 }
 
--- a/crates/cassiarock-transient/tests/host/room.rs
+++ b/crates/cassiarock-transient/tests/host/room.rs
@@ -32,7 +32,7 @@
 fn one_more_entry_hears_of_freed_room_at_once() {
     let mut world = with_three_entries();
     world.now += ms(50);
-    let actions = world.end_by_look(1, "j", 1, End::Done);
+    let actions = world.end_by_poll(1, "j", 1, End::Done);
     assert_eq!(told(&actions).len(), 1, "{actions:?}");
     assert!(
         !told(&actions).contains(&1),
@@ -45,8 +45,8 @@
     let mut world = with_three_entries();
     world.order(1, "k", 1);
     world.now += ms(50);
-    let mut all = told(&world.end_by_look(1, "j", 1, End::Done));
-    all.extend(told(&world.end_by_look(2, "k", 1, End::Done)));
+    let mut all = told(&world.end_by_poll(1, "j", 1, End::Done));
+    all.extend(told(&world.end_by_poll(2, "k", 1, End::Done)));
     all.sort_unstable();
     assert_eq!(all, [2, 3]);
 }
@@ -58,7 +58,7 @@
     world.now += ms(100);
     world.poll();
     world.now += ms(5);
-    let actions = world.end_by_look(1, "j", 1, End::Done);
+    let actions = world.end_by_poll(1, "j", 1, End::Done);
     assert!(told(&actions).is_empty(), "{actions:?}");
 }
 
@@ -117,7 +117,7 @@
     let mut world = full();
     asks(&mut world, 2, Some(ask(2)));
     asks(&mut world, 3, Some(ask(0)));
-    let actions = world.end_by_look(1, "j-0", 1, End::Done);
+    let actions = world.end_by_poll(1, "j-0", 1, End::Done);
     assert_eq!(offered(&actions), Some(entry(3)));
     world.order(2, "hasty", 1);
     assert_eq!(world.starts.len(), 10);
@@ -130,7 +130,7 @@
     let mut world = full();
     asks(&mut world, 2, Some(ask(2)));
     asks(&mut world, 3, Some(ask(0)));
-    world.end_by_look(1, "j-0", 1, End::Done);
+    world.end_by_poll(1, "j-0", 1, End::Done);
     assert_eq!(asks(&mut world, 3, None), Some(entry(2)));
 }
 
@@ -141,7 +141,7 @@
     let mut world = full();
     asks(&mut world, 2, Some(ask(2)));
     asks(&mut world, 3, Some(ask(0)));
-    world.end_by_look(1, "j-0", 1, End::Done);
+    world.end_by_poll(1, "j-0", 1, End::Done);
     world.now += ms(10);
     let actions = world.host.poll(world.now);
     assert_eq!(offered(&actions), Some(entry(2)));
@@ -152,7 +152,7 @@
     let mut world = full();
     asks(&mut world, 3, Some(ask(0)));
     world.now += ms(150);
-    let actions = world.end_by_look(1, "j-0", 1, End::Done);
+    let actions = world.end_by_poll(1, "j-0", 1, End::Done);
     assert_eq!(offered(&actions), None);
 }
 
@@ -162,7 +162,7 @@
 fn an_agent_that_takes_nothing_new_offers_nothing() {
     let mut world = full();
     world.host.evacuate(true);
-    world.end_by_look(1, "j-0", 1, End::Done);
+    world.end_by_poll(1, "j-0", 1, End::Done);
     let message = Message::EntryBeat {
         echo: u64::try_from(world.now.as_millis()).unwrap(),
         version: 1,
@@ -178,6 +178,6 @@
 #[test]
 fn ends_that_are_told_together_come_with_the_room_after_the_last() {
     let mut world = full();
-    world.look(&[], &[(1, "j-0", 1, End::Done), (2, "j-1", 1, End::Done)]);
+    world.observe(&[], &[(1, "j-0", 1, End::Done), (2, "j-1", 1, End::Done)]);
     assert_eq!(world.load.free.cpu, 2_000);
 }
--- a/crates/cassiarock-transient/tests/host/shrink.rs
+++ b/crates/cassiarock-transient/tests/host/shrink.rs
@@ -22,7 +22,7 @@
     assert_eq!(world.load.free.cpu, 0);
     for ended in 1..=4 {
         let job = format!("j-{ended}");
-        world.look(&[], &[(u64::from(ended), &job, ended, End::Done)]);
+        world.observe(&[], &[(u64::from(ended), &job, ended, End::Done)]);
         world.order(1, "k", 20 + ended);
         assert_eq!(
             world.end_of(20 + ended),
@@ -31,7 +31,7 @@
         );
     }
     assert!(world.stops.is_empty(), "what runs goes on");
-    world.look(&[], &[(5, "j-5", 5, End::Done)]);
+    world.observe(&[], &[(5, "j-5", 5, End::Done)]);
     world.order(1, "l", 30);
     assert_eq!(world.starts.len(), 9);
 }
@@ -73,7 +73,7 @@
     world.now += ms(20);
     world.order(1, "k", 60);
     assert_eq!(world.end_of(60), Some(End::Full));
-    world.look(&[], &[(1, "j-1", 1, End::Stopped)]);
+    world.observe(&[], &[(1, "j-1", 1, End::Stopped)]);
     world.order(1, "l", 61);
     assert_eq!(world.starts.len(), 5);
 }
@@ -83,7 +83,7 @@
 #[test]
 fn room_that_was_offered_and_is_gone_is_not_given() {
     let mut world = with_tasks(9);
-    world.look(&[], &[(1, "j-1", 1, End::Done)]);
+    world.observe(&[], &[(1, "j-1", 1, End::Done)]);
     world.resize(8_000);
     world.order(1, "k", 70);
     assert_eq!(world.end_of(70), Some(End::Full));
--- a/crates/cassiarock-transient/tests/host/world.rs
+++ b/crates/cassiarock-transient/tests/host/world.rs
@@ -1,7 +1,7 @@
 //! An agent with an upstream and an entry.
 
 use cassiarock_id::Process;
-use cassiarock_transient::host::{Action, Answer, Look, Named, Task, Worker};
+use cassiarock_transient::host::{Action, Answer, Named, Snapshot, Task, Worker};
 use cassiarock_transient::message::{Attempt, End, Ending, Load, Order, Start};
 use cassiarock_transient::{Demand, Host, Life, Message};
 use std::time::Duration;
@@ -21,7 +21,7 @@
     pub starts: Vec<(Task, u64)>,
     pub stops: Vec<Task>,
     /// How many polls were asked for at once.
-    pub looks: usize,
+    pub polls: usize,
     pub endings: Vec<(Process, Ending)>,
     pub load: Load,
     /// The upstream's clock is the agent's and this much more.
@@ -36,13 +36,13 @@
             now: ms(1_000),
             starts: Vec::new(),
             stops: Vec::new(),
-            looks: 0,
+            polls: 0,
             endings: Vec::new(),
             load: Load::default(),
             ahead: 500_000,
         };
         world.report("u-1", 1);
-        world.look(&[], &[]);
+        world.observe(&[], &[]);
         world.link(1);
         world
     }
@@ -90,7 +90,7 @@
     /// A poll that was sent at `asked` is answered by this life, whose clock is at `clock`.
     pub fn answered(&mut self, life: &Life, asked: Duration, clock: u64, running: &[(&str, u32)]) {
         let running = running.iter();
-        let look = Look {
+        let snapshot = Snapshot {
             life: life.clone(),
             clock,
             asked,
@@ -99,7 +99,7 @@
                 .collect(),
             ended: Vec::new(),
         };
-        let actions = self.host.look(&look, self.now);
+        let actions = self.host.observe(&snapshot, self.now);
         self.take(actions);
     }
 
@@ -147,11 +147,11 @@
         self.host.stopped(&self.life(), task, clock, self.now)
     }
 
-    /// A look shows these jobs' tasks as running, and these as ended.
-    pub fn look(&mut self, running: &[(&str, u32)], ended: &[(u64, &str, u32, End)]) {
+    /// A poll shows these jobs' tasks as running, and these as ended.
+    pub fn observe(&mut self, running: &[(&str, u32)], ended: &[(u64, &str, u32, End)]) {
         let renewed = self.host.renew(self.now);
         assert!(renewed.is_none_or(|until| until <= self.clock() + 1_000));
-        let look = Look {
+        let snapshot = Snapshot {
             life: self.life(),
             clock: self.clock(),
             asked: self.now,
@@ -164,20 +164,20 @@
                 .map(|(number, job, attempt, end)| (*number, (*job).into(), named(*attempt), *end))
                 .collect(),
         };
-        let actions = self.host.look(&look, self.now);
+        let actions = self.host.observe(&snapshot, self.now);
         self.take(actions);
     }
 
-    /// A look shows that the task of a job has ended. Gives what the agent does.
-    pub fn end_by_look(&mut self, number: u64, job: &str, attempt: u32, end: End) -> Vec<Action> {
-        let look = Look {
+    /// A poll shows that the task of a job has ended. Gives what the agent does.
+    pub fn end_by_poll(&mut self, number: u64, job: &str, attempt: u32, end: End) -> Vec<Action> {
+        let snapshot = Snapshot {
             life: self.life(),
             clock: self.clock(),
             asked: self.now,
             running: Vec::new(),
             ended: vec![(number, job.into(), named(attempt), end)],
         };
-        self.host.look(&look, self.now)
+        self.host.observe(&snapshot, self.now)
     }
 
     /// Lets time pass in which the entry is heard.
@@ -211,7 +211,7 @@
                     self.endings.extend(endings);
                 }
                 Action::Send(_, Message::AgentBeat { load, .. }) => self.load = load,
-                Action::Look => self.looks += 1,
+                Action::Poll => self.polls += 1,
                 Action::Send(..) | Action::Tell(_) => {}
             }
         }
