--- /dev/null
+++ b/crates/cassiarock-dispatch/src/entry/calls.rs
@@ -0,0 +1,77 @@
+//! What callers ask of an entry.
+
+use super::Entry;
+use crate::learned::Record;
+use cassiarock_adapter::callers::Call;
+use cassiarock_transient::scheduler::{Action, Answer};
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+impl Entry {
+    pub(super) fn call(&mut self, call: Call, now: Duration) -> Vec<Action> {
+        match call {
+            Call::Submit {
+                number,
+                job,
+                class,
+                patience,
+                reply,
+            } => {
+                self.callers.insert(number, reply);
+                self.scheduler.submit(number, job, class, patience, now)
+            }
+            Call::Left(number) => {
+                self.callers.remove(&number);
+                self.scheduler.abandon(number, "its caller left", now)
+            }
+            Call::Find(job, reply) => {
+                let number = self.scheduler.find(&job);
+                let state = number.map(|number| self.scheduler.is_started(number));
+                // The caller may have gone.
+                let _ = reply.send(state);
+                Vec::new()
+            }
+            Call::Cancel(job, reply) => self.cancel(&job, reply, now),
+            Call::Pending(route, reply) => {
+                // The caller may have gone.
+                let _ = reply.send(self.scheduler.pending(&route));
+                Vec::new()
+            }
+        }
+    }
+
+    pub(super) fn cancel(
+        &mut self,
+        job: &str,
+        reply: oneshot::Sender<bool>,
+        now: Duration,
+    ) -> Vec<Action> {
+        let number = self.scheduler.find(job);
+        // The caller may have gone.
+        let _ = reply.send(number.is_some());
+        let Some(number) = number else {
+            return Vec::new();
+        };
+        let mut actions = self
+            .scheduler
+            .abandon(number, "its caller cancelled it", now);
+        actions.push(Action::Answer(number, Answer::Cancelled));
+        actions
+    }
+
+    /// Takes what is on record where little is known yet. Gives what is to be on record then.
+    pub(super) fn learned(&mut self, known: &Record) -> Record {
+        for (route, millis) in known {
+            let least = Duration::from_millis(*millis);
+            self.scheduler.adopt_patience(route, least);
+        }
+        let millis = |least: Duration| u64::try_from(least.as_millis()).unwrap_or(u64::MAX);
+        let mut learned = known.clone();
+        for (route, least, is_sure) in self.scheduler.usual_patience() {
+            if is_sure || !known.contains_key(route) {
+                learned.insert(route.clone(), millis(least));
+            }
+        }
+        learned
+    }
+}
--- /dev/null
+++ b/crates/cassiarock-dispatch/src/entry/report.rs
@@ -0,0 +1,70 @@
+//! What an entry does and shows.
+
+use super::Entry;
+use crate::line::tell;
+use crate::links::send;
+use cassiarock_process::Evacuation;
+use cassiarock_transient::scheduler::{Action, Answer, Stage};
+use std::time::Duration;
+
+impl Entry {
+    pub(super) fn carry_out(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send(to, message) => send(&self.links, &to, message),
+                Action::Answer(number, answer) => {
+                    metrics::counter!("cassiarock_answers_total", "answer" => label(answer))
+                        .increment(1);
+                    if let Some(caller) = self.callers.remove(&number) {
+                        // The caller may have gone just now.
+                        let _ = caller.send(answer);
+                    }
+                }
+                Action::Tell(decision) => tell(&decision),
+                Action::Measure(stage, route, took) => {
+                    let name = match stage {
+                        Stage::Queue => "cassiarock_queue_seconds",
+                        Stage::Answer => "cassiarock_answer_seconds",
+                    };
+                    let route = route.to_string();
+                    metrics::histogram!(name, "route" => route).record(took);
+                }
+            }
+        }
+    }
+
+    pub(super) fn report(&self, now: Duration) {
+        let open = self.scheduler.open(now);
+        let ready = self.configuration.is_some() && open > 0;
+        let evacuated = self.evacuated.iter();
+        let evacuations: Vec<Evacuation> = evacuated
+            .map(|(data_centre, since)| Evacuation {
+                data_centre: data_centre.clone(),
+                since: *since,
+                tasks: self.scheduler.placed_in(data_centre),
+            })
+            .collect();
+        let (jobs, links, version) = (self.scheduler.jobs(), self.links.len(), self.version());
+        metrics::gauge!("cassiarock_jobs").set(jobs as f64);
+        metrics::gauge!("cassiarock_agents_open").set(open as f64);
+        self.status.send_if_modified(|status| {
+            let before = status.clone();
+            status.ready = ready && !status.leaving;
+            status.jobs = jobs;
+            status.links = links;
+            status.version = version;
+            status.evacuations = evacuations;
+            *status != before
+        });
+    }
+}
+
+const fn label(answer: Answer) -> &'static str {
+    match answer {
+        Answer::Completed => "completed",
+        Answer::Failed => "failed",
+        Answer::Cancelled => "cancelled",
+        Answer::GivenUp => "given_up",
+        Answer::Refused { .. } => "refused",
+    }
+}
