Poll an upstream that is down less and less often

Cause: an upstream that answered nothing was polled each 20 ms, each time over a new connection, for as long as it was down. The pause doubles now up to 160 ms: some 30 polls in four seconds in place of up to 200. One that is back is seen up to 140 ms later than before, after seconds.

--- a/crates/cassiarock-dispatch/src/orders.rs
+++ b/crates/cassiarock-dispatch/src/orders.rs
@@ -4,15 +4,12 @@
 use cassiarock_adapter::Worker;
 use cassiarock_adapter::worker::{CONNECTIONS, Fault, Target};
 use cassiarock_id::Name;
-use cassiarock_transient::host::{Answer, Task};
+use cassiarock_transient::host::{Answer, Task, pause};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 use tokio::sync::{Semaphore, mpsc, oneshot};
 
-/// The pause after a poll that failed at once: nothing listens there.
-const PAUSE: Duration = Duration::from_millis(20);
-
 /// The pause while no upstream is known.
 const IDLE: Duration = Duration::from_millis(100);
 
@@ -122,6 +119,7 @@
     /// Polls the upstream, one poll after the other, until the process ends.
     pub(crate) async fn poll(self) {
         let mut lost: Option<tokio::time::Instant> = None;
+        let mut failures = 0;
         loop {
             let (reply, poll) = oneshot::channel();
             if self.inputs.send(Input::Poll(reply)).await.is_err() {
@@ -142,12 +140,14 @@
                     let away_ms = since.elapsed().as_millis() as u64;
                     log::info!(dependency = "upstream", away_ms = away_ms; "regained");
                     lost = None;
+                    failures = 0;
                 }
                 (false, None) => lost = Some(tokio::time::Instant::now()),
                 (true, None) | (false, Some(_)) => {}
             }
             if !is_answered {
-                tokio::time::sleep(PAUSE).await;
+                failures += 1;
+                tokio::time::sleep(pause(failures)).await;
             }
         }
     }
--- a/crates/cassiarock-transient/src/host/mod.rs
+++ b/crates/cassiarock-transient/src/host/mod.rs
@@ -13,6 +13,7 @@
 mod worker;
 
 pub use run::{Answer, Named, Run, Snapshot, Task};
+pub use snapshots::pause;
 pub use worker::Worker;
 
 use crate::Decision;
--- a/crates/cassiarock-transient/src/host/snapshots.rs
+++ b/crates/cassiarock-transient/src/host/snapshots.rs
@@ -17,10 +17,32 @@
 /// counts as silent.
 const IDLE_WAIT: Duration = Duration::from_millis(150);
 
+/// The pause after a poll that failed ...
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// ... and the longest after several in a row: an upstream that is back is seen within it.
+const LONGEST_PAUSE: Duration = Duration::from_millis(160);
+
 /// How long ends are kept for an entry whose link has broken. After `RECLAIM` it no longer
 /// waits for them.
 const KEEP: Duration = Duration::from_secs(2);
 
+/// The pause after so many polls in a row have failed.
+///
+/// The load that this answers is that of an upstream that is down for seconds: each poll of it
+/// takes a connection.
+///
+/// ```
+/// use cassiarock_transient::host::pause;
+/// assert_eq!(pause(3), pause(1) * 4);
+/// assert_eq!(pause(9), pause(100));
+/// ```
+#[must_use]
+pub fn pause(failures: u32) -> Duration {
+    let doublings = failures.saturating_sub(1).min(u32::BITS - 1);
+    PAUSE.saturating_mul(1 << doublings).min(LONGEST_PAUSE)
+}
+
 impl Host {
     /// How long the next poll waits for an end.
     ///
--- a/crates/cassiarock-transient/tests/host/polls.rs
+++ b/crates/cassiarock-transient/tests/host/polls.rs
@@ -3,7 +3,7 @@
 
 use crate::world::{World, ms};
 use cassiarock_transient::Message;
-use cassiarock_transient::host::Action;
+use cassiarock_transient::host::{Action, pause};
 use cassiarock_transient::message::End;
 use cassiarock_transient::timing::{BEAT, LEASE, SILENCE};
 
@@ -66,3 +66,16 @@
     assert!(wakes <= 60, "{wakes} in two seconds");
     assert!((240..=360).contains(&beats), "{beats} in two seconds");
 }
+
+// An upstream that was down for four seconds was polled 150 times, each time over a new connection.
+#[test]
+fn an_upstream_that_is_down_is_polled_less_and_less() {
+    let mut passed = ms(0);
+    let polls = (1..).find(|failures| {
+        passed += pause(*failures);
+        passed >= ms(4_000)
+    });
+    assert!(polls.is_some_and(|polls| polls <= 32), "{polls:?}");
+    let at_once = pause(1) + pause(2);
+    assert!(at_once <= ms(60), "a lost answer or two cost no time");
+}
