--- a/crates/cassiarock-transient/src/host/lives.rs
+++ b/crates/cassiarock-transient/src/host/lives.rs
@@ -92,7 +92,7 @@
     ) {
         let known = self.worker.take();
         let keeps_id = known.as_ref().is_some_and(|known| known.id == worker.id);
-        let crossing = if keeps_id {
+        let in_flight = if keeps_id {
             self.runs.take_unanswered()
         } else {
             Vec::new()
@@ -110,23 +110,23 @@
         self.is_known = false;
         self.health = Health::default();
         self.offer = None;
-        for (task, run) in crossing {
-            self.cross(task, run, now, actions);
+        for (task, run) in in_flight {
+            self.keep_in_flight(task, run, now, actions);
         }
         self.tell_upstream(actions, reason);
     }
 
     /// An order that may yet reach a new life of the upstream is stopped there. It is over once
     /// an answer to a poll that carried the new fence does not list it.
-    fn cross(&mut self, task: Task, run: Run, now: Duration, actions: &mut Vec<Action>) {
-        self.runs.add(task.clone(), run.crossing(now));
+    fn keep_in_flight(&mut self, task: Task, run: Run, now: Duration, actions: &mut Vec<Action>) {
+        self.runs.add(task.clone(), run.into_in_flight(now));
         actions.push(Action::Stop(task));
     }
 
     /// Whether an answer to a poll is of the present life. An answer that names another one shows
     /// that the upstream has started again under its id, unless the poll went out before the
     /// present life was known.
-    pub(super) fn is_present(
+    pub(super) fn accept(
         &mut self,
         snapshot: &Snapshot,
         now: Duration,
--- a/crates/cassiarock-transient/src/host/run.rs
+++ b/crates/cassiarock-transient/src/host/run.rs
@@ -122,8 +122,9 @@
     pub(super) listed: bool,
     /// When the upstream answered its stop.
     pub(super) stopped: Option<Duration>,
-    /// Since when a new life of the upstream is known that the order may yet reach.
-    pub(super) crossed: Option<Duration>,
+    /// Since when its order has been on its way to a life of the upstream that has ended: the next
+    /// life may carry it out.
+    pub(super) in_flight: Option<Duration>,
 }
 
 impl Run {
@@ -138,7 +139,7 @@
             phase: Phase::Starting,
             listed: false,
             stopped: None,
-            crossed: None,
+            in_flight: None,
         }
     }
 
@@ -148,18 +149,18 @@
     }
 
     /// The same, as what a new life of the upstream may carry out yet.
-    pub(super) fn crossing(self, now: Duration) -> Self {
+    pub(super) fn into_in_flight(self, now: Duration) -> Self {
         Self {
             phase: Phase::Stopping(now),
             stopped: None,
-            crossed: Some(now),
+            in_flight: Some(now),
             ..self
         }
     }
 
     /// Since when its order cannot be carried out any more, if it was not before.
     pub(super) fn void(&self) -> Option<Duration> {
-        self.stopped.or(self.crossed)
+        self.stopped.or(self.in_flight)
     }
 }
 
--- a/crates/cassiarock-transient/src/host/snapshots.rs
+++ b/crates/cassiarock-transient/src/host/snapshots.rs
@@ -66,7 +66,7 @@
     /// What the answer to a poll of the upstream showed.
     pub fn observe(&mut self, snapshot: &Snapshot, now: Duration) -> Vec<Action> {
         let mut actions = Vec::new();
-        if !self.is_present(snapshot, now, &mut actions) {
+        if !self.accept(snapshot, now, &mut actions) {
             return actions;
         }
         self.lease.hear(Some(snapshot.clock), now);
@@ -142,7 +142,7 @@
             let Some(run) = self.runs.get(&task) else {
                 continue;
             };
-            let end = match (run.crossed, run.listed) {
+            let end = match (run.in_flight, run.listed) {
                 (Some(_), _) => End::Lost,
                 (None, false) => End::Refused,
                 (None, true) => End::Stopped,
--- a/crates/cassiarock-transient/src/scheduler/crash.rs
+++ b/crates/cassiarock-transient/src/scheduler/crash.rs
@@ -76,7 +76,7 @@
     }
 
     /// Withdraws what was suspected of tasks at upstreams that have turned out to be lost together.
-    pub(super) fn acquit<'a>(&mut self, works: impl Iterator<Item = &'a mut Work>) {
+    pub(super) fn clear_common<'a>(&mut self, works: impl Iterator<Item = &'a mut Work>) {
         let is_sole = |crash: &Crash| self.lost.iter().all(|(_, lost)| *lost != crash.agent);
         for task in works.flat_map(|work| work.tasks.iter_mut().flatten()) {
             task.crashed.retain(is_sole);
--- a/crates/cassiarock-transient/src/scheduler/settle.rs
+++ b/crates/cassiarock-transient/src/scheduler/settle.rs
@@ -75,7 +75,7 @@
         let number = ending.attempt.number;
         let is_suspect = self.crashes.lose(from, self.agents.len(), now);
         if !is_suspect {
-            self.crashes.acquit(self.works.values_mut());
+            self.crashes.clear_common(self.works.values_mut());
         }
         let Some(work) = self.works.get_mut(&number) else {
             return;
--- a/crates/cassiarock-transient/src/scheduler/work.rs
+++ b/crates/cassiarock-transient/src/scheduler/work.rs
@@ -260,8 +260,8 @@
     /// The agents whose upstreams a task of it has crashed, if it is to be given up for that.
     pub(super) fn crashed(&self) -> Option<String> {
         let mut tasks = self.tasks.iter().flatten();
-        let culprit = tasks.find(|task| task.crashed.len() >= crash::MOST)?;
-        let agents = culprit.crashed.iter().map(|crash| crash.agent.to_string());
+        let at_fault = tasks.find(|task| task.crashed.len() >= crash::MOST)?;
+        let agents = at_fault.crashed.iter().map(|crash| crash.agent.to_string());
         Some(agents.collect::<Vec<_>>().join(","))
     }
 
--- a/crates/cassiarock-transient/tests/host/births.rs
+++ b/crates/cassiarock-transient/tests/host/births.rs
@@ -214,10 +214,10 @@
     assert_eq!(world.end_of(1), Some(End::Lost), "it has run");
 }
 
-// A former life's farewell was held up and came when the next one had started under the same
+// A former life's deregistration was held up and came when the next one had started under the same
 // id: what ran there was given up, and started elsewhere while it ran on.
 #[test]
-fn a_held_up_farewell_of_a_former_life_ends_nothing() {
+fn a_held_up_deregistration_of_a_former_life_ends_nothing() {
     let mut world = running();
     let actions = world.host.deregister("u", world.now);
     world.take(actions);
