Count the processes that an entry is linked to by its status, not by lines

Traced: it counted the lines of opened links, and two entries that choose each other have two links, as have those that open one again on a busy machine. It asks the status for the processes linked now; the bound is the same.

--- a/tests/platform/directory.rs
+++ b/tests/platform/directory.rs
@@ -124,18 +124,18 @@
 async fn entries_link_to_a_few_others_and_not_all_to_the_seeds() {
     const ENTRIES: usize = 16;
     let site = Site::start_entries(ENTRIES).await;
-    let opened = |entry: &crate::site::Entry| {
-        let output = entry.process.output();
-        let lines = output.lines().filter(|line| line.contains("link opened"));
-        lines.count()
-    };
     let all = timeout(SOON, async {
-        while site.entries.iter().any(|entry| opened(entry) < PEERS) {
-            tokio::time::sleep(Duration::from_millis(50)).await;
+        for entry in &site.entries {
+            while entry.links().await.is_none_or(|links| links < PEERS) {
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
         }
     });
     assert!(all.await.is_ok(), "each has its links");
     tokio::time::sleep(Duration::from_secs(1)).await;
-    let links: Vec<usize> = site.entries.iter().map(opened).collect();
+    let mut links = Vec::new();
+    for entry in &site.entries {
+        links.push(entry.links().await.unwrap());
+    }
     assert!(links.iter().all(|count| *count < ENTRIES - 1), "{links:?}");
 }
--- a/tests/platform/site.rs
+++ b/tests/platform/site.rs
@@ -282,6 +282,13 @@
         format!("http://{}:9464/metrics", self.ip)
     }
 
+    /// How many processes it is linked to, by its status.
+    pub async fn links(&self) -> Option<usize> {
+        let answer = reqwest::get(format!("http://{}:9464/status", self.ip)).await;
+        let status: Value = serde_json::from_str(&answer.ok()?.text().await.ok()?).ok()?;
+        usize::try_from(status["links"].as_u64()?).ok()
+    }
+
     /// Waits until so many agents can be given tasks.
     pub async fn linked(&self, agents: usize, limit: Duration) {
         self.until_open(|open| open == agents, limit).await;
