--- a/crates/cassiarock-transient/src/scheduler/crash.rs
+++ b/crates/cassiarock-transient/src/scheduler/crash.rs
@@ -1,9 +1,9 @@
 //! Tasks that crash what runs them.
 //!
 //! The load that this answers is a queue some of whose tasks take their upstream down, and with it
-//! the tasks beside them. Of all that ran there each is a suspect. A suspect runs next on an
-//! upstream of its own choice of company: no other suspect is there, so that a second crash names
-//! the one that caused it, and as few other tasks as possible. One under which two upstreams have
+//! the tasks beside them. All tasks that were lost with an upstream are suspects. A suspect runs
+//! next where no other suspect of the same loss runs, so that a second crash tells which task is
+//! at fault, and beside as few other tasks as possible. A task under which two upstreams have
 //! crashed is given up.
 
 use super::work::{Task, Work};
