--- a/crates/cassiarock-transient/src/host/entries.rs
+++ b/crates/cassiarock-transient/src/host/entries.rs
@@ -103,14 +103,7 @@
         if linked.clone().all(|(_, owner)| silent(owner) < BEAT) {
             return;
         }
-        // While tasks run, ends reset the times again and again: early heartbeats would only be
-        // more of them, and entries have to read each.
-        let early = if self.runs.is_empty() {
-            EARLY
-        } else {
-            Duration::ZERO
-        };
-        let due = linked.filter(|(_, owner)| silent(owner) + early >= BEAT);
+        let due = linked.filter(|(_, owner)| silent(owner) + EARLY >= BEAT);
         let due: Vec<Process> = due.map(|(entry, _)| entry.clone()).collect();
         for entry in due {
             self.beat(&entry, now, actions);
