Answer every job of a leaving entry before its grace period ends

What callers saw: while an entry was restarted, connections were closed without an answer, for jobs that ran and for jobs of which nothing had run. They could not tell the two apart and submitted again 1.3 s later.

Cause: the entry waited for its jobs until 300 ms before the end of the grace period (6 s) and then ended, whatever was left. Nothing of its decisions heeded that end: callers wait up to 7.4 s, and jobs were admitted, queued and tried again as if the process went on.

Why it works: the scheduler knows its shutdown deadline, 600 ms before the end. What cannot end by then is refused as soon as that is known, at admission or while it waits; nothing of it has run and it is forgotten, so the refusal stays true. What may have run is given up at the deadline and its tasks are stopped. A second signal brings the deadline forward instead of closing connections.

--- a/crates/cassiarock-dispatch/src/entry/mod.rs
+++ b/crates/cassiarock-dispatch/src/entry/mod.rs
@@ -24,6 +24,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{oneshot, watch};
+use tokio::time::Instant;
 
 pub(crate) use orders::Configuration;
 
@@ -44,8 +45,8 @@
     Directory(directory::Update),
     /// The stored patience of callers; asks for what is to be stored.
     Learned(RoutePatience, oneshot::Sender<RoutePatience>),
-    /// Accept no new jobs.
-    Leave,
+    /// Report not ready, and answer all jobs by this time.
+    Leave(Instant),
 }
 
 /// Inputs passed to the actor at once. The reply is the time until it has to run again.
@@ -123,7 +124,9 @@
                 let _ = reply.send(self.merge_patience(&known));
                 Vec::new()
             }
-            Input::Leave => {
+            Input::Leave(deadline) => {
+                let left = deadline.saturating_duration_since(Instant::now());
+                self.scheduler.shut_down(now + left);
                 self.status.send_modify(|status| status.leaving = true);
                 Vec::new()
             }
--- a/crates/cassiarock-dispatch/src/run/entry.rs
+++ b/crates/cassiarock-dispatch/src/run/entry.rs
@@ -1,6 +1,6 @@
 //! Sets up an entry, runs it and shuts it down.
 
-use super::{FLUSH_DELAY, KEY, bind, identity, leave, monitor, seed};
+use super::{FLUSH_DELAY, GRACE_RESERVE, KEY, bind, identity, monitor, seed};
 use crate::entry::{Batch, Entry, Input};
 use crate::mesh::Mesh;
 use crate::reload::reload;
@@ -44,6 +44,10 @@
 /// Most connections of callers, three quarters of the 4,100 file descriptors of the smallest VMs.
 const MAX_CONNECTIONS: usize = 3_000;
 
+/// The part of the grace period that is left when the last jobs are given up: on a loaded VM with
+/// a slow link it takes some hundred milliseconds until all answers have reached their callers.
+const ANSWER_RESERVE: Duration = Duration::from_millis(600);
+
 /// Runs an entry until `asked` requests its end, and shuts it down within the grace period.
 ///
 /// # Errors
@@ -59,12 +63,18 @@
         () = until(&mut asked, Stage::Drain) => {}
         fault = running.fault() => return Err(fault.into()),
     }
-    log::info!("leaving");
+    let deadline = Instant::now() + grace.saturating_sub(ANSWER_RESERVE);
+    log::info!(grace_ms = grace.as_millis(), jobs = running.statuses.borrow().jobs; "leaving");
     running.is_leaving.store(true, Ordering::Relaxed);
     // Fails only if the actor has ended.
-    let _ = running.inputs.send(Input::Leave).await;
+    let _ = running.inputs.send(Input::Leave(deadline)).await;
     let statuses = running.statuses.clone();
-    leave(running.answer_all(), &mut asked, grace).await;
+    let stop = stop_early(running.inputs.clone(), running.close.clone(), asked);
+    tokio::select! {
+        () = running.answer_all() => {}
+        () = stop => {}
+        () = tokio::time::sleep(grace.saturating_sub(GRACE_RESERVE)) => {}
+    }
     let jobs = statuses.borrow().jobs;
     log::info!(jobs = jobs; "stopped");
     Ok(Report { jobs, tasks: 0 })
@@ -194,6 +204,19 @@
     }
 }
 
+/// Waits until the process is requested to end at once, then answers all callers.
+async fn stop_early(
+    inputs: mpsc::Sender<Input>,
+    close: watch::Sender<Stage>,
+    mut asked: watch::Receiver<Stage>,
+) {
+    until(&mut asked, Stage::Stop).await;
+    // Fails only if the actor has ended, and all jobs with it.
+    let _ = inputs.send(Input::Leave(Instant::now())).await;
+    close.send_replace(Stage::Drain);
+    tokio::time::sleep(ANSWER_RESERVE).await;
+}
+
 fn create_actor(
     mesh: Mesh,
     table: watch::Sender<Option<Arc<RouteTable>>>,
--- a/crates/cassiarock-transient/src/scheduler/active_job.rs
+++ b/crates/cassiarock-transient/src/scheduler/active_job.rs
@@ -202,15 +202,18 @@
     /// Whether the job cannot be done in time any more. A job whose tasks all run or are done is
     /// left to finish until its caller leaves: the answer is late, but costs nothing more.
     pub(super) fn is_hopeless(&self, now: Duration) -> bool {
-        if now >= self.caller_deadline {
-            return true;
-        }
-        let time_needed = if self.may_have_run() {
+        now >= self.caller_deadline
+            || self.has_waiting() && now + self.min_time_left() >= self.useful_until
+    }
+
+    /// The least time until the end of the job that can be told: the whole run time if nothing has
+    /// started.
+    pub(super) fn min_time_left(&self) -> Duration {
+        if self.may_have_run() {
             Duration::ZERO
         } else {
             self.critical_path
-        };
-        self.has_waiting() && now + time_needed >= self.useful_until
+        }
     }
 
     /// Whether any task may have started. A task that is placed at an agent may run. Only a job of
--- a/crates/cassiarock-transient/src/scheduler/admit.rs
+++ b/crates/cassiarock-transient/src/scheduler/admit.rs
@@ -5,7 +5,7 @@
 //! it late.
 
 use super::active_job::{ActiveJob, Phase};
-use super::{Answer, Scheduler, job_decision};
+use super::{Answer, Scheduler, job_decision, shutdown};
 use crate::{Decision, Resources};
 use std::time::Duration;
 
@@ -84,6 +84,10 @@
                 .with("free_cpu", free_cpu)
                 .with("version", active.class.version)
         };
+        if self.ends_before(expected_end) {
+            let decision = decision("refused").with("reason", shutdown::REASON);
+            return Err((self.refused_by_shutdown(), decision));
+        }
         if expected_end > active.on_time_until && self.mechanisms.admission {
             let answer = self.refusal(BASE_RETRY_AFTER + wait, true);
             return Err((answer, decision("refused").with("reason", "queue")));
--- a/crates/cassiarock-transient/src/scheduler/expire.rs
+++ b/crates/cassiarock-transient/src/scheduler/expire.rs
@@ -25,7 +25,8 @@
                 self.fail(number, Answer::GivenUp, "out of time", now, actions);
                 continue;
             }
-            self.refuse(number, "waited too long", now, actions);
+            let answer = self.refusal(RETRY_AFTER, true);
+            self.refuse(number, answer, "waited too long", now, actions);
         }
     }
 
@@ -56,15 +57,17 @@
             active.is_late = true;
             self.queue.insert(active.rank());
             if others > 0 && !active.may_have_run() {
-                self.refuse(number, "overload", now, actions);
+                let answer = self.refusal(RETRY_AFTER, true);
+                self.refuse(number, answer, "overload", now, actions);
             }
         }
     }
 
     /// Refuses a job of which nothing has run.
-    fn refuse(
+    pub(super) fn refuse(
         &mut self,
         number: u64,
+        answer: Answer,
         reason: &'static str,
         now: Duration,
         actions: &mut Vec<Action>,
@@ -78,7 +81,7 @@
                 .with("kept_free_percent", kept_free.round())
                 .with("queue", queue);
             actions.push(Action::Log(decision.failed()));
-            actions.push(Action::Answer(number, self.refusal(RETRY_AFTER, true)));
+            actions.push(Action::Answer(number, answer));
         }
     }
 }
--- a/crates/cassiarock-transient/src/scheduler/mod.rs
+++ b/crates/cassiarock-transient/src/scheduler/mod.rs
@@ -22,6 +22,7 @@
 mod rank;
 mod reserve;
 mod run_time;
+mod shutdown;
 mod upstream_kinds;
 
 use crate::message::Message;
@@ -78,6 +79,8 @@
     paused_until: Duration,
     /// When the checks of what depends on time alone last ran.
     last_check: Duration,
+    /// Until when all jobs have to be answered, if the process is leaving.
+    shutdown_deadline: Option<Duration>,
     /// The median of the upstreams' pace, in hundredths.
     median_pace: f64,
     /// The version of the configuration in force.
@@ -277,6 +280,7 @@
             self.last_check = now;
             self.update_ejections();
             self.reclaim(now, &mut actions);
+            self.end_jobs_cut_short(now, &mut actions);
             self.end_hopeless_jobs(now, &mut actions);
             self.handle_missed_starts(now, &mut actions);
             self.move_overdue_tasks(now, &mut actions);
--- a/crates/cassiarock-transient/src/scheduler/overdue.rs
+++ b/crates/cassiarock-transient/src/scheduler/overdue.rs
@@ -58,7 +58,11 @@
         };
         let expected = active.expected[stage];
         let bound = expected.mul_f64(OVERDUE_FACTOR).max(expected + MIN_OVERDUE);
-        task.moves < MAX_MOVES && now >= *since + bound && now + expected < active.useful_until
+        let next_end = now + expected;
+        task.moves < MAX_MOVES
+            && now >= *since + bound
+            && next_end < active.useful_until
+            && !self.ends_before(next_end)
     }
 
     /// Marks a task as being moved. The caller sends the order to stop it.
--- a/crates/cassiarock-transient/tests/scheduler/main.rs
+++ b/crates/cassiarock-transient/tests/scheduler/main.rs
@@ -10,3 +10,4 @@
 mod losses;
 mod order;
 mod reserve;
+mod shutdown;
