--- a/crates/cassiarock-dispatch/src/run/entry.rs
+++ b/crates/cassiarock-dispatch/src/run/entry.rs
@@ -27,7 +27,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep_until};
 
 /// How long a leaving entry still accepts connections: the load balancer checks readiness once a
 /// second and removes an entry after two negative answers.
@@ -63,17 +63,16 @@
         () = until(&mut asked, Stage::Drain) => {}
         fault = running.fault() => return Err(fault.into()),
     }
-    let deadline = Instant::now() + grace.saturating_sub(ANSWER_RESERVE);
+    let asked_at = Instant::now();
+    let answer_deadline = asked_at + grace.saturating_sub(ANSWER_RESERVE);
     log::info!(grace_ms = grace.as_millis(), jobs = running.statuses.borrow().jobs; "leaving");
     running.is_leaving.store(true, Ordering::Relaxed);
-    // Fails only if the actor has ended.
-    let _ = running.inputs.send(Input::Leave(deadline)).await;
     let statuses = running.statuses.clone();
     let stop = stop_early(running.inputs.clone(), running.close.clone(), asked);
     tokio::select! {
-        () = running.answer_all() => {}
+        () = running.answer_all(answer_deadline) => {}
         () = stop => {}
-        () = tokio::time::sleep(grace.saturating_sub(GRACE_RESERVE)) => {}
+        () = sleep_until(asked_at + grace.saturating_sub(GRACE_RESERVE)) => {}
     }
     let jobs = statuses.borrow().jobs;
     log::info!(jobs = jobs; "stopped");
@@ -190,9 +189,11 @@
         }
     }
 
-    /// Waits until the load balancer has removed the entry, then closes idle connections and waits for
-    /// the others and for all jobs.
-    async fn answer_all(self) {
+    /// Has all jobs answered by `deadline`. Waits until the load balancer has removed the entry,
+    /// then closes idle connections and waits for the others and for all jobs.
+    async fn answer_all(self, deadline: Instant) {
+        // Fails only if the actor has ended.
+        let _ = self.inputs.send(Input::Leave(deadline)).await;
         tokio::time::sleep(REMOVAL_DELAY).await;
         self.close.send_replace(Stage::Drain);
         // Fails only if the server has panicked; nothing is left to wait for then.
