Ignore a repeated SIGTERM on the users' platform

What callers saw: an entry that was told to end a second time while it left dropped all connections at once, without an answer to the requests it had read. An agent ended with its tasks running.

Cause: the daemon takes the second signal for an operator's order to end at once. On the platform planned work overlaps and repeats SIGTERM; only SIGKILL, after the grace period, is meant to end a leaving process there.

The log says that it was ignored and how long the process has been leaving. SIGINT, from an operator at a terminal, still ends a leaving process at once, and the native mode keeps its behaviour.

--- a/crates/cassiarock-test-support/src/process/mod.rs
+++ b/crates/cassiarock-test-support/src/process/mod.rs
@@ -142,6 +142,11 @@
         self.signal(Signal::SIGTERM);
     }
 
+    /// Asks it to drain and end, as an operator at a terminal does (SIGINT).
+    pub fn interrupt(&self) {
+        self.signal(Signal::SIGINT);
+    }
+
     /// Ends it at once (SIGKILL) and waits until it is gone.
     pub fn kill(&mut self) {
         let _ = self.process.kill();
--- a/src/bin/cassiarockd/command.rs
+++ b/src/bin/cassiarockd/command.rs
@@ -68,7 +68,8 @@
         .descr("The daemon of cassiarock, a dispatcher for sub-second tasks.")
         .header(
             "SIGTERM drains: nothing new is taken, what is in flight is finished. A second \
-             SIGTERM, or the setting drain_limit, ends it at once and says what was cut.",
+             SIGTERM, or the setting drain_limit, ends it at once and says what was cut. With \
+             --platform a repeated SIGTERM changes nothing; SIGINT after it ends it at once.",
         )
         .footer(example_list(&[
             "cassiarockd entry --settings settings/andes/entry.jsonc",
--- a/src/bin/cassiarockd/program.rs
+++ b/src/bin/cassiarockd/program.rs
@@ -2,7 +2,7 @@
 
 use crate::command::{Command, Role, Source, options};
 use crate::logging;
-use crate::signal::Signals;
+use crate::signal::{Host, Signals};
 use bpaf::{Args, ParseFailure};
 use cassiarock_process::{Report, Stage};
 use cassiarock_settings::{Agent, Entry};
@@ -34,6 +34,15 @@
     Platform(Role, PathBuf, cassiarock_adapter::Settings),
 }
 
+impl Settings {
+    const fn host(&self) -> Host {
+        match self {
+            Self::Entry(_) | Self::Agent(_) => Host::Native,
+            Self::Platform(..) => Host::Platform,
+        }
+    }
+}
+
 /// Runs the daemon with the process's arguments.
 pub fn main() -> ExitCode {
     let command = match options().run_inner(Args::current_args()) {
@@ -100,7 +109,7 @@
 
 async fn serve(settings: Settings) -> Result<Report, BoxedError> {
     let (stage_sender, stage) = watch::channel(Stage::Run);
-    tokio::spawn(Signals::new()?.forward(stage_sender));
+    tokio::spawn(Signals::new(settings.host())?.forward(stage_sender));
     match settings {
         Settings::Entry(settings) => entry(settings, stage).await,
         Settings::Agent(settings) => agent(settings, stage).await,
--- a/src/bin/cassiarockd/signal.rs
+++ b/src/bin/cassiarockd/signal.rs
@@ -2,42 +2,71 @@
 
 use cassiarock_process::Stage;
 use std::io;
+use std::time::Instant;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 
+/// Who runs the process, and with it what signals mean.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Host {
+    /// An operator or a service manager: a second SIGTERM stops the process.
+    Native,
+    /// The users' platform: it may repeat SIGTERM, and enforces the end itself with SIGKILL.
+    Platform,
+}
+
+/// A signal that asks the process to end.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum End {
+    Terminate,
+    Interrupt,
+}
+
+impl Host {
+    /// Whether `end` stops a process that is already draining.
+    const fn is_stop(self, end: End) -> bool {
+        matches!((self, end), (Self::Native, _) | (_, End::Interrupt))
+    }
+}
+
 /// The signals that end the process. They are caught from its start, since one that arrives
 /// before the process serves would otherwise kill it without a log line.
 #[derive(Debug)]
 pub struct Signals {
+    host: Host,
     terminate: Signal,
     interrupt: Signal,
 }
 
 impl Signals {
     /// Installs the signal handlers.
-    pub fn new() -> io::Result<Self> {
+    pub fn new(host: Host) -> io::Result<Self> {
         Ok(Self {
+            host,
             terminate: signal(SignalKind::terminate())?,
             interrupt: signal(SignalKind::interrupt())?,
         })
     }
 
-    /// Requests a drain at the first signal and a stop at the second.
+    /// Requests a drain at the first signal and a stop at a later one that stops the process.
     pub async fn forward(mut self, stage: watch::Sender<Stage>) {
         self.next().await;
         log::info!("signal: drain");
         stage.send_replace(Stage::Drain);
-        self.next().await;
+        let started = Instant::now();
+        while !self.host.is_stop(self.next().await) {
+            log::warn!(leaving_ms = started.elapsed().as_millis(); "SIGTERM: already leaving, ignored");
+        }
         log::warn!("second signal: stop");
         stage.send_replace(Stage::Stop);
         // Keeps the sender alive: the process takes a dropped sender as the end of the program.
         std::future::pending::<()>().await;
     }
 
-    async fn next(&mut self) {
+    async fn next(&mut self) -> End {
         tokio::select! {
-            _ = self.terminate.recv() => {}
-            _ = self.interrupt.recv() => {}
+            _ = self.terminate.recv() => End::Terminate,
+            _ = self.interrupt.recv() => End::Interrupt,
         }
     }
 }
--- a/tests/platform/leaving.rs
+++ b/tests/platform/leaving.rs
@@ -2,8 +2,26 @@
 
 use crate::job::{PATIENCE, completed, hand_in, submit};
 use crate::site::{Site, body};
+use cassiarock_test_support::process::Child;
 use std::time::Duration;
 
+/// The pause between the first signal that ends a process and the next one.
+const BETWEEN_SIGNALS: Duration = Duration::from_millis(300);
+
+/// Waits until so many tasks have begun.
+async fn begun(site: &Site, tasks: usize) {
+    while site.witness.runs().len() < tasks {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// Sends SIGTERM twice.
+async fn terminate_twice(process: &Child) {
+    process.terminate();
+    tokio::time::sleep(BETWEEN_SIGNALS).await;
+    process.terminate();
+}
+
 // A process took SIGHUP, which says that its settings have changed, for the order to end.
 #[tokio::test]
 async fn new_settings_end_no_process() {
@@ -61,3 +79,47 @@
     let status = site.agents[0].process.ended(Duration::from_secs(7)).await;
     assert!(status.unwrap().is_some_and(|status| status.success()));
 }
+
+// Planned work overlaps: an entry that already leaves was told to end again, and ended at once
+// without an answer to its callers.
+#[tokio::test]
+async fn an_entry_that_is_told_to_end_twice_answers_what_it_has_taken() {
+    let mut site = Site::start(1, 1).await;
+    let id = "00000000000000b4";
+    let job = hand_in(&site.entries[0], id, body(4, 1_500), PATIENCE);
+    begun(&site, 4).await;
+    terminate_twice(&site.entries[0].process).await;
+    assert_eq!(job.await.unwrap(), completed());
+    let status = site.entries[0].process.ended(Duration::from_secs(7)).await;
+    assert!(status.unwrap().is_some_and(|status| status.success()));
+    let output = site.entries[0].process.output();
+    assert!(output.contains("SIGTERM: already leaving"), "{output}");
+}
+
+// The same at an agent, which left its running tasks behind.
+#[tokio::test]
+async fn an_agent_that_is_told_to_end_twice_finishes_its_tasks() {
+    let mut site = Site::start(1, 1).await;
+    let id = "00000000000000b5";
+    let job = hand_in(&site.entries[0], id, body(8, 1_500), PATIENCE);
+    begun(&site, 8).await;
+    terminate_twice(&site.agents[0].process).await;
+    assert_eq!(job.await.unwrap(), completed());
+    assert_eq!(site.witness.runs().len(), 8, "none was broken off");
+    let status = site.agents[0].process.ended(Duration::from_secs(7)).await;
+    assert!(status.unwrap().is_some_and(|status| status.success()));
+}
+
+#[tokio::test]
+async fn an_operator_at_a_terminal_can_end_a_leaving_entry_at_once() {
+    let mut site = Site::start(1, 1).await;
+    let id = "00000000000000b6";
+    let job = hand_in(&site.entries[0], id, body(4, 4_000), PATIENCE * 2);
+    begun(&site, 4).await;
+    site.entries[0].process.terminate();
+    tokio::time::sleep(BETWEEN_SIGNALS).await;
+    site.entries[0].process.interrupt();
+    let status = site.entries[0].process.ended(Duration::from_secs(2)).await;
+    assert_eq!(status.unwrap().and_then(|status| status.code()), Some(3));
+    drop(job);
+}
