Handle SIGHUP from the start of a process

What callers saw: SIGHUP, which on the platform says that the settings have changed, killed a process that had just started, without a log line and with all connections it had taken. A native process was killed by it at any time.

Cause: the handlers of SIGTERM and SIGINT are installed before a process serves, that of SIGHUP only once the reload of settings first ran. The native mode had none, so the default action held.

SIGHUP is now handled first of all signals.

The tests write settings files of the same role in one process, so the names of these files are now numbered.

--- a/crates/cassiarock-test-support/src/process/mod.rs
+++ b/crates/cassiarock-test-support/src/process/mod.rs
@@ -147,6 +147,19 @@
         self.signal(Signal::SIGINT);
     }
 
+    /// Whether it has a handler for `signal`, by the system's record of the process.
+    ///
+    /// # Errors
+    /// If the process is gone, or its record has no such entry.
+    pub fn handles(&self, signal: Signal) -> io::Result<bool> {
+        let record = std::fs::read_to_string(format!("/proc/{}/status", self.process.id()))?;
+        let mut lines = record.lines();
+        let caught = lines.find_map(|line| line.strip_prefix("SigCgt:"));
+        let caught = caught.ok_or(io::ErrorKind::InvalidData)?;
+        let caught = u64::from_str_radix(caught.trim(), 16).map_err(io::Error::other)?;
+        Ok(caught >> (signal as u32 - 1) & 1 == 1)
+    }
+
     /// Ends it at once (SIGKILL) and waits until it is gone.
     pub fn kill(&mut self) {
         let _ = self.process.kill();
--- a/src/bin/cassiarockd/signal.rs
+++ b/src/bin/cassiarockd/signal.rs
@@ -9,9 +9,11 @@
 /// Who runs the process, and with it what signals mean.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Host {
-    /// An operator or a service manager: a second SIGTERM stops the process.
+    /// An operator or a service manager: a second SIGTERM stops the process. There is nothing to
+    /// reload, so SIGHUP changes nothing.
     Native,
-    /// The users' platform: it may repeat SIGTERM, and enforces the end itself with SIGKILL.
+    /// The users' platform: it may repeat SIGTERM, and enforces the end itself with SIGKILL. SIGHUP
+    /// is left to the reload of settings.
     Platform,
 }
 
@@ -29,22 +31,26 @@
     }
 }
 
-/// The signals that end the process. They are caught from its start, since one that arrives
+/// The signals that the process handles. They are caught from its start, since one that arrives
 /// before the process serves would otherwise kill it without a log line.
 #[derive(Debug)]
 pub struct Signals {
     host: Host,
     terminate: Signal,
     interrupt: Signal,
+    hangup: Signal,
 }
 
 impl Signals {
     /// Installs the signal handlers.
     pub fn new(host: Host) -> io::Result<Self> {
+        // A process that drains on SIGTERM must not be killed by SIGHUP, so that handler is first.
+        let hangup = signal(SignalKind::hangup())?;
         Ok(Self {
             host,
             terminate: signal(SignalKind::terminate())?,
             interrupt: signal(SignalKind::interrupt())?,
+            hangup,
         })
     }
 
@@ -64,9 +70,15 @@
     }
 
     async fn next(&mut self) -> End {
-        tokio::select! {
-            _ = self.terminate.recv() => End::Terminate,
-            _ = self.interrupt.recv() => End::Interrupt,
+        let is_hangup_ignored = self.host == Host::Native;
+        loop {
+            tokio::select! {
+                _ = self.terminate.recv() => return End::Terminate,
+                _ = self.interrupt.recv() => return End::Interrupt,
+                _ = self.hangup.recv(), if is_hangup_ignored => {
+                    log::info!("SIGHUP: ignored, settings are read only at the start");
+                }
+            }
         }
     }
 }
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -7,12 +7,16 @@
 use std::io::{BufRead, BufReader, Lines};
 use std::path::PathBuf;
 use std::process::{Child, ChildStderr, Command, Output, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 use yare::parameterized;
 
 const DAEMON: &str = env!("CARGO_BIN_EXE_cassiarockd");
 const CLIENT: &str = env!("CARGO_BIN_EXE_cassiarock");
 
+/// The number of settings files written so far.
+static SETTINGS_FILES: AtomicU32 = AtomicU32::new(0);
+
 /// Options that mark those examples of the client that need no running system.
 const OFFLINE_OPTIONS: [&str; 2] = ["--config", "--role"];
 
@@ -170,31 +174,33 @@
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
-        let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
-        let mut log = Vec::new();
-        while !log
-            .last()
-            .is_some_and(|line: &String| line.contains("listening"))
-        {
-            log.push(
-                lines
-                    .next()
-                    .expect("the process exited before it listened")
-                    .unwrap(),
-            );
-        }
-        Self {
+        let lines = BufReader::new(child.stderr.take().unwrap()).lines();
+        let mut daemon = Self {
             child,
             lines,
-            log,
+            log: Vec::new(),
             settings,
+        };
+        daemon.wait_for("listening");
+        daemon
+    }
+
+    fn signal(&self, signal: Signal) {
+        let process = Pid::from_raw(i32::try_from(self.child.id()).unwrap());
+        kill(process, signal).unwrap();
+    }
+
+    /// Waits until it logs a line that contains `text`.
+    fn wait_for(&mut self, text: &str) {
+        while !self.log.last().is_some_and(|line| line.contains(text)) {
+            let line = self.lines.next().expect("the process has ended");
+            self.log.push(line.unwrap());
         }
     }
 
     /// Sends SIGTERM and returns the exit code and all log lines.
     fn terminate(mut self) -> (Option<i32>, Vec<String>) {
-        let process = Pid::from_raw(i32::try_from(self.child.id()).unwrap());
-        kill(process, Signal::SIGTERM).unwrap();
+        self.signal(Signal::SIGTERM);
         self.log.extend(self.lines.map(Result::unwrap));
         std::fs::remove_file(self.settings).unwrap();
         (self.child.wait().unwrap().code(), self.log)
@@ -215,7 +221,9 @@
         agent.drain_limit = Duration::from_secs(1);
         serde_json::to_string(&agent)
     };
-    let file = format!("idle-{role}-{format:?}-{}.jsonc", std::process::id());
+    // Several tests of one program start the same role.
+    let number = SETTINGS_FILES.fetch_add(1, Ordering::Relaxed);
+    let file = format!("idle-{role}-{number}-{}.jsonc", std::process::id());
     let file = std::env::temp_dir().join(file);
     std::fs::write(&file, settings.unwrap()).unwrap();
     file
@@ -233,6 +241,17 @@
     );
 }
 
+// A terminal closes, or an operator expects a reload: the process was killed by SIGHUP and its
+// callers were left without an answer.
+#[parameterized(entry = { "entry" }, agent = { "agent" })]
+fn a_hangup_does_not_end_a_process(role: &str) {
+    let mut daemon = Daemon::start(role, Format::Text);
+    daemon.signal(Signal::SIGHUP);
+    daemon.wait_for("SIGHUP: ignored");
+    let (code, log) = daemon.terminate();
+    assert_eq!(code, Some(0), "{log:?}");
+}
+
 #[test]
 fn every_json_log_line_is_an_object() {
     let (_, log) = Daemon::start("entry", Format::Json).terminate();
--- a/tests/platform/leaving.rs
+++ b/tests/platform/leaving.rs
@@ -3,11 +3,18 @@
 use crate::job::{PATIENCE, completed, hand_in, submit};
 use crate::site::{Site, body};
 use cassiarock_test_support::process::Child;
-use std::time::Duration;
+use nix::sys::signal::Signal;
+use std::time::{Duration, Instant};
 
 /// The pause between the first signal that ends a process and the next one.
 const BETWEEN_SIGNALS: Duration = Duration::from_millis(300);
 
+/// How long a process may take until it handles signals, on a busy machine.
+const START: Duration = Duration::from_secs(20);
+
+/// How often the start of a process is watched.
+const STARTS: usize = 10;
+
 /// Waits until so many tasks have begun.
 async fn begun(site: &Site, tasks: usize) {
     while site.witness.runs().len() < tasks {
@@ -36,6 +43,55 @@
     assert_eq!(reply, completed());
 }
 
+/// Fails if the process handles SIGTERM before it handles SIGHUP.
+fn assert_handles_hangup_first(process: &Child) {
+    let until = Instant::now() + START;
+    loop {
+        // In this order: a process handles a signal for good once it does.
+        let handles_terminate = process.handles(Signal::SIGTERM).unwrap();
+        let handles_hangup = process.handles(Signal::SIGHUP).unwrap();
+        assert!(handles_hangup || !handles_terminate);
+        if handles_hangup {
+            return;
+        }
+        assert!(Instant::now() < until, "it handles no signals");
+    }
+}
+
+// A process that had just started was killed by SIGHUP, which says that its settings have changed.
+#[tokio::test]
+async fn new_settings_do_not_kill_a_process_that_starts() {
+    let mut site = Site::start_unlinked(1, 1).await;
+    for _ in 0..STARTS {
+        site.entries[0].process.kill();
+        site.entries[0].restart();
+        assert_handles_hangup_first(&site.entries[0].process);
+        site.agents[0].process.kill();
+        site.agents[0].restart();
+        assert_handles_hangup_first(&site.agents[0].process);
+    }
+}
+
+// SIGHUP came before the reload of settings was ready for it, and the new settings were not read.
+#[tokio::test]
+async fn new_settings_at_the_start_are_read() {
+    let mut site = Site::start_unlinked(1, 0).await;
+    let entry = &mut site.entries[0];
+    entry.process.kill();
+    entry.restart();
+    while !entry.process.handles(Signal::SIGTERM).unwrap() {
+        std::hint::spin_loop();
+    }
+    entry.change_settings("graceS = 6", "graceS = 5");
+    entry.process.hang_up();
+    // The settings are also read at intervals, which must not be what finds the change.
+    let until = Instant::now() + Duration::from_secs(1);
+    while !entry.process.output().contains("\"changed\":\"grace\"") {
+        assert!(Instant::now() < until, "{}", entry.process.output());
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
 #[tokio::test]
 async fn an_entry_that_is_told_to_end_answers_what_it_has_taken() {
     let mut site = Site::start(1, 1).await;
--- a/tests/platform/site.rs
+++ b/tests/platform/site.rs
@@ -266,6 +266,13 @@
         self.process = Child::on_platform(DAEMON, "entry", &self.name, &self.file).unwrap();
     }
 
+    /// Replaces a part of its settings file.
+    pub fn change_settings(&self, from: &str, to: &str) {
+        let text = std::fs::read_to_string(&self.file).unwrap();
+        assert!(text.contains(from), "{text}");
+        std::fs::write(&self.file, text.replace(from, to)).unwrap();
+    }
+
     /// The address of a job.
     pub fn job(&self, id: &str) -> String {
         format!("http://{}:{}/q/{id}", self.ip, self.ports.callers())
