--- a/tests/platform/leaving.rs
+++ b/tests/platform/leaving.rs
@@ -2,7 +2,32 @@
 
 use crate::job::{PATIENCE, Reply, completed, hand_in, submit};
 use crate::site::{Site, body};
-use std::time::Duration;
+use cassiarock_test_support::process::Child;
+use nix::sys::signal::Signal;
+use std::time::{Duration, Instant};
+
+/// The pause between the first signal that ends a process and the next one.
+const BETWEEN_SIGNALS: Duration = Duration::from_millis(300);
+
+/// How long a process may take until it handles signals, on a busy machine.
+const START: Duration = Duration::from_secs(20);
+
+/// How often the start of a process is watched.
+const STARTS: usize = 10;
+
+/// Waits until so many tasks have begun.
+async fn begun(site: &Site, tasks: usize) {
+    while site.witness.runs().len() < tasks {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// Sends SIGTERM twice.
+async fn terminate_twice(process: &Child) {
+    process.terminate();
+    tokio::time::sleep(BETWEEN_SIGNALS).await;
+    process.terminate();
+}
 
 // A process took SIGHUP, which says that its settings have changed, for the order to end.
 #[tokio::test]
@@ -18,6 +43,55 @@
     assert_eq!(reply, completed());
 }
 
+/// Fails if the process handles SIGTERM before it handles SIGHUP.
+fn assert_handles_hangup_first(process: &Child) {
+    let until = Instant::now() + START;
+    loop {
+        // In this order: a process handles a signal for good once it does.
+        let handles_terminate = process.handles(Signal::SIGTERM).unwrap();
+        let handles_hangup = process.handles(Signal::SIGHUP).unwrap();
+        assert!(handles_hangup || !handles_terminate);
+        if handles_hangup {
+            return;
+        }
+        assert!(Instant::now() < until, "it handles no signals");
+    }
+}
+
+// A process that had just started was killed by SIGHUP, which says that its settings have changed.
+#[tokio::test]
+async fn new_settings_do_not_kill_a_process_that_starts() {
+    let mut site = Site::start_unlinked(1, 1).await;
+    for _ in 0..STARTS {
+        site.entries[0].process.kill();
+        site.entries[0].restart();
+        assert_handles_hangup_first(&site.entries[0].process);
+        site.agents[0].process.kill();
+        site.agents[0].restart();
+        assert_handles_hangup_first(&site.agents[0].process);
+    }
+}
+
+// SIGHUP came before the reload of settings was ready for it, and the new settings were not read.
+#[tokio::test]
+async fn new_settings_at_the_start_are_read() {
+    let mut site = Site::start_unlinked(1, 0).await;
+    let entry = &mut site.entries[0];
+    entry.process.kill();
+    entry.restart();
+    while !entry.process.handles(Signal::SIGTERM).unwrap() {
+        std::hint::spin_loop();
+    }
+    entry.change_settings("graceS = 6", "graceS = 5");
+    entry.process.hang_up();
+    // The settings are also read at intervals, which must not be what finds the change.
+    let until = Instant::now() + Duration::from_secs(1);
+    while !entry.process.output().contains("\"changed\":\"grace\"") {
+        assert!(Instant::now() < until, "{}", entry.process.output());
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
 #[tokio::test]
 async fn an_entry_that_is_told_to_end_answers_what_it_has_taken() {
     let mut site = Site::start(1, 1).await;
@@ -66,7 +140,7 @@
 #[tokio::test]
 async fn a_job_that_outlasts_the_grace_period_is_answered_before_the_entry_ends() {
     let mut site = Site::start(1, 1).await;
-    let id = "00000000000000b4";
+    let id = "00000000000000b7";
     let job = hand_in(&site.entries[0], id, body(2, 9_000), PATIENCE * 4);
     while !site.witness.has_begun(id) {
         tokio::time::sleep(Duration::from_millis(5)).await;
@@ -81,12 +155,12 @@
 #[tokio::test]
 async fn a_waiting_job_that_cannot_end_within_the_grace_period_is_refused() {
     let site = Site::start(1, 1).await;
-    let first = "00000000000000b5";
+    let first = "00000000000000b8";
     let running = hand_in(&site.entries[0], first, body(16, 9_000), PATIENCE * 4);
     while site.witness.runs().is_empty() {
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
-    let second = "00000000000000b6";
+    let second = "00000000000000b9";
     let waiting = hand_in(&site.entries[0], second, body(1, 2_000), PATIENCE * 4);
     tokio::time::sleep(Duration::from_millis(100)).await;
     site.entries[0].process.terminate();
@@ -95,3 +169,49 @@
     assert_eq!(running.await.unwrap(), Reply::Status(504));
     assert!(!site.witness.has_begun(second));
 }
+
+// Planned work overlaps: an entry that already leaves was told to end again, and ended at once
+// without an answer to its callers.
+#[tokio::test]
+async fn an_entry_that_is_told_to_end_twice_answers_what_it_has_taken() {
+    let mut site = Site::start(1, 1).await;
+    let id = "00000000000000b4";
+    let job = hand_in(&site.entries[0], id, body(4, 1_500), PATIENCE);
+    begun(&site, 4).await;
+    terminate_twice(&site.entries[0].process).await;
+    assert_eq!(job.await.unwrap(), completed());
+    let status = site.entries[0].process.ended(Duration::from_secs(7)).await;
+    assert!(status.unwrap().is_some_and(|status| status.success()));
+    let output = site.entries[0].process.output();
+    assert!(output.contains("SIGTERM: already leaving"), "{output}");
+}
+
+// The same at an agent, which left its running tasks behind.
+#[tokio::test]
+async fn an_agent_that_is_told_to_end_twice_finishes_its_tasks() {
+    let mut site = Site::start(1, 1).await;
+    let id = "00000000000000b5";
+    let job = hand_in(&site.entries[0], id, body(8, 1_500), PATIENCE);
+    begun(&site, 8).await;
+    terminate_twice(&site.agents[0].process).await;
+    assert_eq!(job.await.unwrap(), completed());
+    assert_eq!(site.witness.runs().len(), 8, "none was broken off");
+    let status = site.agents[0].process.ended(Duration::from_secs(7)).await;
+    assert!(status.unwrap().is_some_and(|status| status.success()));
+}
+
+// An operator ended a leaving entry at once, and its callers' connections were closed without an
+// answer.
+#[tokio::test]
+async fn an_entry_that_an_operator_ends_at_once_answers_its_callers_first() {
+    let mut site = Site::start(1, 1).await;
+    let id = "00000000000000b6";
+    let job = hand_in(&site.entries[0], id, body(4, 4_000), PATIENCE * 2);
+    begun(&site, 4).await;
+    site.entries[0].process.terminate();
+    tokio::time::sleep(BETWEEN_SIGNALS).await;
+    site.entries[0].process.interrupt();
+    assert_eq!(job.await.unwrap(), Reply::Status(504));
+    let status = site.entries[0].process.ended(Duration::from_secs(2)).await;
+    assert!(status.unwrap().is_some_and(|status| status.success()));
+}
