Take connections at a leaving entry until its jobs are done

What callers saw: connections refused by entries that were leaving and still finished jobs, for up to 3 s each.

Cause: the listener was closed 2.5 s after the signal, when the balancer was expected to have removed the entry. With fewer than half of a data centre's entries ready it sends callers to all of them, so in a fast rolling restart they go on coming. Requests in the closed listener's queue were reset.

--- a/crates/cassiarock-dispatch/src/run/entry.rs
+++ b/crates/cassiarock-dispatch/src/run/entry.rs
@@ -27,10 +27,10 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
-/// How long a leaving entry still accepts connections: the load balancer checks readiness once a
-/// second and removes an entry after two negative answers.
+/// The least time for which a leaving entry accepts connections: the load balancer checks readiness
+/// once a second and removes an entry after two negative answers.
 const REMOVAL_DELAY: Duration = Duration::from_millis(2_500);
 
 /// How long requests wait for the first configuration after a start. It arrives within 300 ms if
@@ -189,18 +189,22 @@
         }
     }
 
-    /// Has all jobs answered by `deadline`. Waits until the load balancer has removed the entry,
-    /// then closes idle connections and waits for the others and for all jobs.
-    async fn answer_all(self, deadline: Instant) {
+    /// Has all jobs answered by `deadline`. Takes connections until the load balancer has removed
+    /// the entry and no job is left, then closes idle connections and waits for the others.
+    async fn answer_all(mut self, deadline: Instant) {
         // Fails only if the actor has ended.
         let _ = self.inputs.send(Input::Leave(deadline)).await;
         tokio::time::sleep(REMOVAL_DELAY).await;
+        // With too few other entries, the load balancer goes on sending callers to this one.
+        let idle = self.statuses.wait_for(|status| status.jobs == 0);
+        // Fails only if jobs are left at the deadline, which are being given up, or if the actor has
+        // ended.
+        let _ = timeout_at(deadline, idle).await;
         self.close.send_replace(Stage::Drain);
         // Fails only if the server has panicked; nothing is left to wait for then.
         let _ = self.server.await;
-        let mut statuses = self.statuses;
         // Fails only if the actor has ended, and all jobs with it.
-        let _ = statuses.wait_for(|status| status.jobs == 0).await;
+        let _ = self.statuses.wait_for(|status| status.jobs == 0).await;
         tokio::time::sleep(FLUSH_DELAY).await;
     }
 }
--- a/tests/platform/leaving.rs
+++ b/tests/platform/leaving.rs
@@ -215,3 +215,21 @@
     let status = site.entries[0].process.ended(Duration::from_secs(2)).await;
     assert!(status.unwrap().is_some_and(|status| status.success()));
 }
+
+// The load balancer had too few other entries and sent callers to one that was leaving, which
+// refused their connections while it finished its jobs.
+#[tokio::test]
+async fn an_entry_that_finishes_its_jobs_takes_new_connections_until_it_ends() {
+    let mut site = Site::start(1, 1).await;
+    let id = "00000000000000ba";
+    let job = hand_in(&site.entries[0], id, body(1, 4_500), PATIENCE * 2);
+    begun(&site, 1).await;
+    site.entries[0].process.terminate();
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let next = "00000000000000bb";
+    let reply = submit(&site.entries[0], next, &body(2, 50), PATIENCE).await;
+    assert_eq!(reply, completed());
+    assert_eq!(job.await.unwrap(), completed());
+    let status = site.entries[0].process.ended(Duration::from_secs(2)).await;
+    assert!(status.unwrap().is_some_and(|status| status.success()));
+}
