Bound the expected wait behind a huge job instead of ending the entry

An entry ended, and dropped all its callers, when two jobs arrived together in its first second: one of 10,000 tasks with a huge `cpu` and a long estimate, and one behind it. The expected wait was beyond any Duration, so that Duration::from_secs_f64 panicked in the actor. Jobs that fit no upstream are taken in only while a process starts, or if an upstream reports a huge capacity.

The wait is now at most an hour, far beyond what callers wait, and the sums of demands saturate. Estimates were bounded already, at 10^6 s.

--- a/crates/cassiarock-transient/src/scheduler/admit.rs
+++ b/crates/cassiarock-transient/src/scheduler/admit.rs
@@ -22,6 +22,10 @@
 /// this time.
 const RETRY_AFTER_NO_UPSTREAM: Duration = Duration::from_secs(2);
 
+/// The longest wait that is expected, far longer than callers wait. It keeps the sums of times
+/// small, whatever callers say that their tasks take.
+const MAX_WAIT: Duration = Duration::from_secs(3_600);
+
 impl Scheduler {
     /// Decides whether to admit a job. An error holds the answer to the caller.
     pub(super) fn admit(
@@ -64,7 +68,7 @@
         }
         let free_cpu: u64 = open.iter().map(|agent| agent.free().cpu).sum();
         let (queued_cpu, queued_core_millis) = self.queued_before(active);
-        let wait = if queued_cpu + total_cpu(active) <= free_cpu {
+        let wait = if queued_cpu.saturating_add(total_cpu(active)) <= free_cpu {
             Duration::ZERO
         } else {
             let capacity: u64 = open.iter().map(|agent| agent.capacity().cpu).sum();
@@ -73,7 +77,7 @@
             // At the onset of a burst little has been placed yet. The rate to come is at least an
             // equal share of the system.
             let rate = self.placement_rate.cores(now).max(share).max(1.0);
-            Duration::from_secs_f64(queued_core_millis / rate / 1000.0)
+            time_to_place(queued_core_millis, rate)
         };
         let expected_end = now + wait + active.critical_path;
         let decision = |kind| {
@@ -102,7 +106,7 @@
         let before = before.filter_map(|rank| self.jobs.get(&rank.number));
         before.fold((0, 0.0), |(cpu, core_millis), job| {
             let core_millis = core_millis + job.waiting_core_millis();
-            (cpu + waiting_cpu(job), core_millis)
+            (cpu.saturating_add(waiting_cpu(job)), core_millis)
         })
     }
 
@@ -122,22 +126,26 @@
     }
 }
 
+/// How long it takes to place so much work at `rate` cores.
+fn time_to_place(core_millis: f64, rate: f64) -> Duration {
+    let wait = Duration::try_from_secs_f64(core_millis / rate / 1000.0);
+    wait.map_or(MAX_WAIT, |wait| wait.min(MAX_WAIT))
+}
+
 /// The processor demand of the tasks that wait, in thousandths of a core.
 fn waiting_cpu(active: &ActiveJob) -> u64 {
     let stages = active.job.stages.iter().zip(&active.tasks);
-    stages
-        .map(|(stage, tasks)| {
-            let waiting = tasks.iter();
-            let waiting = waiting.filter(|task| matches!(task.phase, Phase::Waiting(_)));
-            waiting.count() as u64 * stage.demand.cpu
-        })
-        .sum()
+    let demands = stages.map(|(stage, tasks)| {
+        let waiting = tasks.iter();
+        let waiting = waiting.filter(|task| matches!(task.phase, Phase::Waiting(_)));
+        stage.demand.cpu.saturating_mul(waiting.count() as u64)
+    });
+    demands.fold(0, u64::saturating_add)
 }
 
 /// The processor demand of all tasks, in thousandths of a core.
 fn total_cpu(active: &ActiveJob) -> u64 {
     let stages = active.job.stages.iter();
-    stages
-        .map(|stage| u64::from(stage.task_count) * stage.demand.cpu)
-        .sum()
+    let demands = stages.map(|stage| stage.demand.cpu.saturating_mul(stage.task_count.into()));
+    demands.fold(0, u64::saturating_add)
 }
--- a/crates/cassiarock-transient/tests/scheduler/main.rs
+++ b/crates/cassiarock-transient/tests/scheduler/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
+mod admission;
 mod answers;
 mod ask;
 mod burst;
