Answer requests that are in the sockets of idle connections at shutdown

Callers saw a connection reset instead of an answer when their request arrived on a kept-alive connection just before the callers' server shut down.

Cause: the connection was told to close before it was polled, so hyper took it for idle and closed it; the runtime may also not have been told yet that the socket is readable, and then a poll finds nothing either. The close reset the connection, with the request unread. A request of which only the first bytes had been read was dropped in the same way. A response written in the poll that read its request did not announce the close.

A read now asks the kernel when the runtime knows of nothing to read, and a connection is closed only after a read that found the socket empty, with everything read so far belonging to whole requests. Responses sent after the shutdown carry `connection: close`.

--- /dev/null
+++ b/crates/cassiarock-caller/src/server/input.rs
@@ -0,0 +1,108 @@
+//! What has been read of a connection's requests.
+
+use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::task::{Context, Poll};
+
+/// What has been read of a connection's requests, shared by its socket and its handler.
+#[derive(Debug, Default)]
+pub(super) struct Input {
+    /// The last read found the socket empty.
+    is_drained: AtomicBool,
+    /// A request has been read in part.
+    is_partial: AtomicBool,
+    /// The handler has dropped a body before its end; hyper discards the rest.
+    is_discarded: AtomicBool,
+    /// An incomplete request is no longer waited for.
+    is_expired: AtomicBool,
+}
+
+impl Input {
+    /// Whether every byte that has arrived belongs to a request that was read to its end.
+    pub(super) fn is_idle(&self) -> bool {
+        self.is_drained.load(Ordering::Relaxed) && !self.is_partial.load(Ordering::Relaxed)
+    }
+
+    /// Records a read of the socket, which had nothing to read if `length` is `None`.
+    pub(super) fn read(&self, length: Option<usize>) {
+        self.is_drained.store(length.is_none(), Ordering::Relaxed);
+        if length.is_some() && !self.is_discarded.load(Ordering::Relaxed) {
+            self.is_partial.store(true, Ordering::Relaxed);
+        }
+    }
+
+    /// Makes the reads of an incomplete request fail.
+    pub(super) fn expire(&self) {
+        self.is_expired.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether a read without result is to fail.
+    pub(super) fn is_expired(&self) -> bool {
+        self.is_expired.load(Ordering::Relaxed) && self.is_partial.load(Ordering::Relaxed)
+    }
+
+    fn begin(&self) {
+        self.is_partial.store(true, Ordering::Relaxed);
+        self.is_discarded.store(false, Ordering::Relaxed);
+    }
+
+    fn complete(&self) {
+        self.is_partial.store(false, Ordering::Relaxed);
+    }
+
+    fn discard(&self) {
+        if self.is_partial.swap(false, Ordering::Relaxed) {
+            self.is_discarded.store(true, Ordering::Relaxed);
+        }
+    }
+}
+
+/// A request body that records when it has been read.
+pub(super) struct Tracked {
+    body: Incoming,
+    input: Arc<Input>,
+}
+
+impl Tracked {
+    pub(super) fn new(body: Incoming, input: Arc<Input>) -> Self {
+        input.begin();
+        if body.is_end_stream() {
+            input.complete();
+        }
+        Self { body, input }
+    }
+}
+
+impl Body for Tracked {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let polled = Pin::new(&mut self.body).poll_frame(context);
+        if matches!(polled, Poll::Ready(None)) || self.body.is_end_stream() {
+            self.input.complete();
+        }
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+impl Drop for Tracked {
+    fn drop(&mut self) {
+        if !self.body.is_end_stream() {
+            self.input.discard();
+        }
+    }
+}
--- a/crates/cassiarock-caller/src/server.rs
+++ b/crates/cassiarock-caller/src/server/mod.rs
@@ -1,17 +1,19 @@
 //! The HTTP server: connections and their limits.
 
+mod connection;
+mod input;
+mod stream;
+
 use crate::Limit;
 use axum::Router;
 use hyper::server::conn::http1;
-use hyper_util::rt::{TokioIo, TokioTimer};
-use hyper_util::server::graceful::GracefulShutdown;
-use hyper_util::service::TowerToHyperService;
+use hyper_util::rt::TokioTimer;
 use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 
 /// The smallest header buffer that hyper accepts, in bytes.
 const MIN_HEADER_BUFFER: usize = 8 << 10;
@@ -25,8 +27,8 @@
 /// The response body for connections over the limit.
 const REJECT_BODY: &str = r#"{"outcome":"unavailable","reason":"too many connections, not started by this submission","retry_after_s":1}"#;
 
-/// Serves `router` until `shutdown` is ready, then takes no more connections, lets every
-/// request in flight end, and returns.
+/// Serves `router` until `shutdown` is ready, then takes no more connections, answers every
+/// request that has arrived, and returns.
 ///
 /// ```
 /// # #[tokio::main(flavor = "current_thread")]
@@ -49,7 +51,7 @@
     let server = Server {
         http: http(limit),
         router,
-        graceful: GracefulShutdown::new(),
+        closing: watch::Sender::new(false),
         free: Arc::new(Semaphore::new(limit.connections)),
         rejecting: Arc::new(Semaphore::new(MAX_REJECTING)),
     };
@@ -58,13 +60,15 @@
         () = shutdown => {}
     }
     drop(listener);
-    server.graceful.shutdown().await;
+    server.closing.send_replace(true);
+    server.closing.closed().await;
 }
 
 struct Server {
     http: http1::Builder,
     router: Router,
-    graceful: GracefulShutdown,
+    /// Tells the connections to close; each holds a receiver until it has ended.
+    closing: watch::Sender<bool>,
     free: Arc<Semaphore>,
     rejecting: Arc<Semaphore>,
 }
@@ -95,9 +99,8 @@
 
     fn handle(&self, stream: TcpStream, permit: OwnedSemaphorePermit) {
         let _ = stream.set_nodelay(true);
-        let service = TowerToHyperService::new(self.router.clone());
-        let connection = self.http.serve_connection(TokioIo::new(stream), service);
-        let connection = self.graceful.watch(connection);
+        let (http, router) = (self.http.clone(), self.router.clone());
+        let connection = connection::serve(http, router, stream, self.closing.subscribe());
         tokio::spawn(async move {
             if let Err(error) = connection.await {
                 log::debug!("serving a caller's connection: {error}");
--- a/crates/cassiarock-caller/tests/api/main.rs
+++ b/crates/cassiarock-caller/tests/api/main.rs
@@ -5,5 +5,6 @@
 mod body;
 mod reply;
 mod server;
+mod shutdown;
 mod submission;
 mod support;
--- a/crates/cassiarock-caller/tests/api/server.rs
+++ b/crates/cassiarock-caller/tests/api/server.rs
@@ -99,7 +99,7 @@
     let mut api = Api::new(Limit::default(), move |call| hold.send(call).unwrap()).await;
     let request = tokio::spawn(api.post("/v1/jobs").json(&job()).send());
     let call: Call = held.recv().await.unwrap();
-    api.stop.take().unwrap().send(()).unwrap();
+    api.stop();
     while TcpStream::connect(api.address).is_ok() {
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
--- a/crates/cassiarock-caller/tests/api/support.rs
+++ b/crates/cassiarock-caller/tests/api/support.rs
@@ -61,6 +61,11 @@
         Client::new().post(self.url(path))
     }
 
+    /// Asks the server to shut down.
+    pub fn stop(&mut self) {
+        self.stop.take().unwrap().send(()).unwrap();
+    }
+
     pub fn calls(&self) -> usize {
         self.calls.load(Ordering::SeqCst)
     }
