Answer requests on connections that wait in the accept queue at shutdown

Callers saw their connection reset when they had connected and sent a request just before the callers' server shut down.

Cause: the listener was dropped with accepted but unserved connections in the kernel's queue, and the kernel resets these, whether or not a request is in them.

The queue is now emptied before the listener is closed, by asking the kernel directly, since the runtime may not have been told of the connections.

--- a/crates/cassiarock-caller/src/server/mod.rs
+++ b/crates/cassiarock-caller/src/server/mod.rs
@@ -9,6 +9,7 @@
 use hyper::server::conn::http1;
 use hyper_util::rt::TokioTimer;
 use std::future::Future;
+use std::io;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -20,6 +21,9 @@
 /// Pause after a failed accept. The usual cause is a lack of file descriptors, so the
 /// next accept fails as well; without a pause the loop would use a whole processor.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// How many connections are accepted at the shutdown: what the kernel's queue can hold. It
+/// ends the loop if callers connect as fast as they are accepted.
+const MAX_QUEUED: usize = 4_096;
 /// How many connections over the limit are answered at a time; the rest are closed.
 const MAX_REJECTING: usize = 64;
 /// Time limit for answering a connection over the limit.
@@ -59,7 +63,9 @@
         () = server.accept(&listener) => {}
         () = shutdown => {}
     }
-    drop(listener);
+    if let Err(error) = server.accept_queued(listener) {
+        log::warn!("accepting the last connections of callers: {error}");
+    }
     server.closing.send_replace(true);
     server.closing.closed().await;
 }
@@ -86,6 +92,24 @@
         }
     }
 
+    /// Accepts the connections in the kernel's queue, which closing the listener would reset.
+    /// The runtime may not have been told of them yet, so the kernel is asked directly.
+    fn accept_queued(&self, listener: TcpListener) -> io::Result<()> {
+        let listener = listener.into_std()?;
+        for _ in 0..MAX_QUEUED {
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    stream.set_nonblocking(true)?;
+                    self.admit(TcpStream::from_std(stream)?);
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+                Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(())
+    }
+
     /// Serves a connection, or rejects it if too many are open, since more would take
     /// memory and file descriptors from those in use. A rejected connection gets a
     /// response: left in the kernel's queue, it would look like a dead entry to a load
@@ -134,7 +158,7 @@
 /// broken connection, so the first bytes of the request are awaited. Closing with unread
 /// input would reset the connection and could discard the response, so the input is read
 /// until the caller closes.
-async fn send_rejection(mut stream: TcpStream) -> std::io::Result<()> {
+async fn send_rejection(mut stream: TcpStream) -> io::Result<()> {
     let mut rest = [0; 1024];
     if stream.read(&mut rest).await? == 0 {
         return Ok(());
--- a/crates/cassiarock-caller/tests/api/shutdown.rs
+++ b/crates/cassiarock-caller/tests/api/shutdown.rs
@@ -81,7 +81,24 @@
         .for_each(|caller| caller.send(&submission()));
     api.stop();
     let (_callers, heads) = receive(callers).await;
-    assert!(heads.iter().all(|head| head.starts_with("HTTP/1.1 ")));
+    let answered = heads.iter().filter(|head| head.starts_with("HTTP/1.1 "));
+    assert_eq!(answered.count(), CONNECTIONS);
+    stopped(&mut api, TIMEOUT).await;
+}
+
+/// Guards against a request cut off because the server had not accepted its connection yet.
+#[tokio::test]
+async fn requests_on_queued_connections_are_answered() {
+    let mut api = Api::answering(Limit::default(), Answer::Running).await;
+    tokio::task::yield_now().await;
+    let mut callers = callers(&api);
+    callers
+        .iter_mut()
+        .for_each(|caller| caller.send(&submission()));
+    api.stop();
+    let (_callers, heads) = receive(callers).await;
+    let answered = heads.iter().filter(|head| head.starts_with("HTTP/1.1 "));
+    assert_eq!(answered.count(), CONNECTIONS);
     stopped(&mut api, TIMEOUT).await;
 }
 
