Send the rejections of connections over the limit before the server ends

Callers over the limit of connections saw their connection reset instead of the 429 that was owed to them when the entry shut down at that moment.

Cause: the end of the server waited for the connections that it serves, not for those that it rejects, and the process ended with their tasks.

The rejections are now waited for as well; each takes at most REJECT_TIMEOUT.

--- a/crates/cassiarock-caller/src/server/mod.rs
+++ b/crates/cassiarock-caller/src/server/mod.rs
@@ -136,9 +136,10 @@
     fn reject(&self, stream: TcpStream) {
         metrics::counter!("cassiarock_caller_connections_refused_total").increment(1);
         if let Ok(permit) = self.rejecting.clone().try_acquire_owned() {
+            let open = self.closing.subscribe();
             tokio::spawn(async move {
                 let _ = tokio::time::timeout(REJECT_TIMEOUT, send_rejection(stream)).await;
-                drop(permit);
+                drop((permit, open));
             });
         }
     }
--- a/crates/cassiarock-caller/tests/api/shutdown.rs
+++ b/crates/cassiarock-caller/tests/api/shutdown.rs
@@ -127,6 +127,27 @@
     stopped(&mut api, TIMEOUT).await;
 }
 
+/// Guards against a connection over the limit that is closed at shutdown without the
+/// rejection that was owed to it.
+#[tokio::test]
+async fn requests_over_the_limit_are_rejected_at_shutdown() {
+    let limit = Limit {
+        connections: 0,
+        ..Limit::default()
+    };
+    let mut api = Api::answering(limit, Answer::Running).await;
+    tokio::task::yield_now().await;
+    let mut callers = callers(&api);
+    callers
+        .iter_mut()
+        .for_each(|caller| caller.send(&submission()));
+    api.stop();
+    stopped(&mut api, TIMEOUT).await;
+    // Nothing runs while the test reads: a response that is not there yet never comes.
+    let mut heads = callers.iter_mut().map(Caller::receive);
+    assert!(heads.all(|head| head.starts_with("HTTP/1.1 429 ")));
+}
+
 /// Guards against a caller that holds the shutdown by not completing its request.
 #[yare::parameterized(
     head = { 10 },
