Read on after a response that is sent before the end of its request

Callers that were still sending a body lost the response (404, 413, 429, 503 and others that do not need the body): their connection was reset.

Cause: hyper closes a connection whose request it does not read to its end, and closing with unread input makes the kernel reset the connection, which fails the caller's writes and can discard the response.

The shutdown of such a connection now closes only the sending side and reads on until the caller closes, for a second at most. A connection whose requests have all been read to their end is closed at once, as before.

--- a/crates/cassiarock-caller/src/server/input.rs
+++ b/crates/cassiarock-caller/src/server/input.rs
@@ -20,11 +20,16 @@
 }
 
 impl Input {
-    /// Whether every byte that has arrived belongs to a request that was read to its end.
+    /// Whether nothing more is to be read, now or soon.
     pub(super) fn is_idle(&self) -> bool {
         self.is_drained.load(Ordering::Relaxed) && !self.is_partial.load(Ordering::Relaxed)
     }
 
+    /// Whether every byte that was read belongs to a request that was read to its end.
+    pub(super) fn is_whole(&self) -> bool {
+        !self.is_partial.load(Ordering::Relaxed) && !self.is_discarded.load(Ordering::Relaxed)
+    }
+
     /// Records a read of the socket, which had nothing to read if `length` is `None`.
     pub(super) fn read(&self, length: Option<usize>) {
         self.is_drained.store(length.is_none(), Ordering::Relaxed);
--- a/crates/cassiarock-caller/src/server/stream.rs
+++ b/crates/cassiarock-caller/src/server/stream.rs
@@ -6,30 +6,50 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::Sleep;
+
+/// How long a caller that is still sending may take to read the last response.
+const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// A socket whose reads see what has arrived even if the runtime has not been told of it
 /// yet, so that a connection is not taken for idle while a request waits in its socket.
+///
+/// Closing with unread input resets the connection, which can discard the last response.
+/// So the shutdown of an unfinished request reads on until the caller closes.
 pub(super) struct Stream {
     socket: TcpStream,
     input: Arc<Input>,
+    linger: Option<Pin<Box<Sleep>>>,
 }
 
 impl Stream {
     pub(super) const fn new(socket: TcpStream, input: Arc<Input>) -> Self {
-        Self { socket, input }
+        Self {
+            socket,
+            input,
+            linger: None,
+        }
     }
 
-    fn poll_socket(
+    /// Reads and records what has been read.
+    fn poll_input(
         &mut self,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        match Pin::new(&mut self.socket).poll_read(context, buffer) {
+        let before = buffer.filled().len();
+        let polled = match Pin::new(&mut self.socket).poll_read(context, buffer) {
             Poll::Pending => self.poll_kernel(context, buffer),
             ready => ready,
+        };
+        let length = buffer.filled().len() - before;
+        if length > 0 {
+            self.input.read(Some(length));
         }
+        polled
     }
 
     fn poll_kernel(
@@ -51,6 +71,21 @@
             Err(error) => Poll::Ready(Err(error)),
         }
     }
+
+    /// Waits until the caller has closed, or there is nothing more of it to read.
+    fn poll_end(&mut self, context: &mut Context<'_>, linger: Pin<&mut Sleep>) -> Poll<()> {
+        let mut rest = [0; 4096];
+        loop {
+            let mut buffer = ReadBuf::new(&mut rest);
+            match self.poll_input(context, &mut buffer) {
+                Poll::Ready(Ok(())) if !buffer.filled().is_empty() => {}
+                // An error means that the caller has reset the connection.
+                Poll::Ready(_) => return Poll::Ready(()),
+                Poll::Pending if self.input.is_whole() => return Poll::Ready(()),
+                Poll::Pending => return linger.poll(context),
+            }
+        }
+    }
 }
 
 impl AsyncRead for Stream {
@@ -59,15 +94,7 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        match self.poll_socket(context, buffer) {
-            Poll::Ready(Ok(())) => {
-                let length = buffer.filled().len() - before;
-                if length > 0 {
-                    self.input.read(Some(length));
-                }
-                Poll::Ready(Ok(()))
-            }
+        match self.poll_input(context, buffer) {
             Poll::Pending if self.input.is_expired() => {
                 Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
             }
@@ -102,6 +129,15 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_shutdown(context)
+        let mut linger = match self.linger.take() {
+            Some(linger) => linger,
+            None => {
+                ready!(Pin::new(&mut self.socket).poll_shutdown(context))?;
+                Box::pin(tokio::time::sleep(LINGER_TIMEOUT))
+            }
+        };
+        let ended = self.poll_end(context, linger.as_mut());
+        self.linger = Some(linger);
+        ended.map(Ok)
     }
 }
--- a/crates/cassiarock-caller/tests/api/server.rs
+++ b/crates/cassiarock-caller/tests/api/server.rs
@@ -45,6 +45,42 @@
     assert_eq!(api.calls(), 0);
 }
 
+/// Guards against a response that is lost because the server closes the connection, which
+/// resets it, while the caller still sends the body.
+#[yare::parameterized(
+    unknown_path = { "/unknown", "HTTP/1.1 404 " },
+    oversized_body = { "/v1/jobs", "HTTP/1.1 413 " },
+)]
+#[test_macro(tokio::test)]
+async fn a_response_before_the_end_of_the_body_arrives(path: &'static str, answer: &str) {
+    let limit = Limit {
+        body: 1000,
+        ..Limit::default()
+    };
+    let api = Api::answering(limit, Answer::Running).await;
+    let address = api.address;
+    let exchange = move || -> std::io::Result<String> {
+        let mut stream = TcpStream::connect(address)?;
+        stream.set_read_timeout(Some(Duration::from_secs(10)))?;
+        let part = " ".repeat(64 << 10);
+        let length = part.len() * 4;
+        write!(stream, "POST {path} HTTP/1.1\r\nhost: x\r\n")?;
+        write!(stream, "content-length: {length}\r\n\r\n")?;
+        for _ in 0..4 {
+            stream.write_all(part.as_bytes())?;
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        let mut text = String::new();
+        stream.read_to_string(&mut text)?;
+        Ok(text)
+    };
+    let text = tokio::task::spawn_blocking(exchange).await.unwrap();
+    assert!(
+        text.as_ref().is_ok_and(|text| text.starts_with(answer)),
+        "{text:?}"
+    );
+}
+
 #[tokio::test]
 async fn oversized_headers_are_rejected() {
     let api = Api::answering(Limit::default(), Answer::Running).await;
