Await the first request of a new connection for a moment at shutdown

Callers that had just connected saw their connection closed when the callers' server shut down between their connecting and the arrival of their request.

Cause: a connection without a request counted as idle at once, although a caller that connects is about to send one.

A connection that has not carried a request yet is now kept for FIRST_TIMEOUT, 100 ms, after the shutdown, which one that sends nothing can hold no longer.

--- a/crates/cassiarock-caller/src/server/connection.rs
+++ b/crates/cassiarock-caller/src/server/connection.rs
@@ -18,6 +18,9 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
+/// How long a caller that has only connected may take after the shutdown to send the first
+/// bytes of a request.
+const FIRST_TIMEOUT: Duration = Duration::from_millis(100);
 /// How long a caller may take after the shutdown to send the rest of a request.
 const REST_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -29,7 +32,7 @@
     socket: TcpStream,
     mut closing: watch::Receiver<bool>,
 ) -> hyper::Result<()> {
-    let input = Arc::new(Input::default());
+    let input = Arc::<Input>::default();
     let router = TowerToHyperService::new(router);
     let is_closing = closing.clone();
     let service = service_fn(|request: Request<Incoming>| {
@@ -61,6 +64,11 @@
         }
         ended
     }));
+    tokio::select! {
+        biased;
+        ended = drain.as_mut() => return ended,
+        () = tokio::time::sleep(FIRST_TIMEOUT) => input.expect_none(),
+    }
     tokio::select! {
         biased;
         ended = drain.as_mut() => return ended,
--- a/crates/cassiarock-caller/src/server/input.rs
+++ b/crates/cassiarock-caller/src/server/input.rs
@@ -11,6 +11,8 @@
 pub(super) struct Input {
     /// The last read found the socket empty.
     is_drained: AtomicBool,
+    /// A first request has begun, or is no longer expected.
+    is_used: AtomicBool,
     /// A request has been read in part.
     is_partial: AtomicBool,
     /// The handler has dropped a body before its end; hyper discards the rest.
@@ -22,7 +24,9 @@
 impl Input {
     /// Whether nothing more is to be read, now or soon.
     pub(super) fn is_idle(&self) -> bool {
-        self.is_drained.load(Ordering::Relaxed) && !self.is_partial.load(Ordering::Relaxed)
+        self.is_drained.load(Ordering::Relaxed)
+            && self.is_used.load(Ordering::Relaxed)
+            && !self.is_partial.load(Ordering::Relaxed)
     }
 
     /// Whether every byte that was read belongs to a request that was read to its end.
@@ -33,11 +37,20 @@
     /// Records a read of the socket, which had nothing to read if `length` is `None`.
     pub(super) fn read(&self, length: Option<usize>) {
         self.is_drained.store(length.is_none(), Ordering::Relaxed);
-        if length.is_some() && !self.is_discarded.load(Ordering::Relaxed) {
+        if length.is_none() {
+            return;
+        }
+        self.is_used.store(true, Ordering::Relaxed);
+        if !self.is_discarded.load(Ordering::Relaxed) {
             self.is_partial.store(true, Ordering::Relaxed);
         }
     }
 
+    /// Ends the wait for a first request.
+    pub(super) fn expect_none(&self) {
+        self.is_used.store(true, Ordering::Relaxed);
+    }
+
     /// Makes the reads of an incomplete request fail.
     pub(super) fn expire(&self) {
         self.is_expired.store(true, Ordering::Relaxed);
--- a/crates/cassiarock-caller/tests/api/shutdown.rs
+++ b/crates/cassiarock-caller/tests/api/shutdown.rs
@@ -102,6 +102,20 @@
     stopped(&mut api, TIMEOUT).await;
 }
 
+/// Guards against a request cut off because its connection was new at shutdown and the
+/// request still on its way.
+#[tokio::test]
+async fn the_first_request_of_a_new_connection_is_answered() {
+    let mut api = Api::answering(Limit::default(), Answer::Running).await;
+    let mut caller = Caller::connect(api.address);
+    api.stop();
+    tokio::time::sleep(Duration::from_millis(10)).await;
+    caller.send(&submission());
+    let (_callers, heads) = receive(vec![caller]).await;
+    assert!(heads[0].starts_with("HTTP/1.1 202 "), "{heads:?}");
+    stopped(&mut api, TIMEOUT).await;
+}
+
 /// Guards against a request cut off because only the first bytes of its head had arrived
 /// at shutdown, and against a response without `connection: close`, on which the caller
 /// sends its next request to a connection that is being closed.
