--- a/crates/cassiarock-caller/src/server.rs
+++ b/crates/cassiarock-caller/src/server/mod.rs
@@ -1,23 +1,29 @@
 //! The HTTP server: connections and their limits.
 
+mod connection;
+mod input;
+mod stream;
+
 use crate::Limit;
 use axum::Router;
 use hyper::server::conn::http1;
-use hyper_util::rt::{TokioIo, TokioTimer};
-use hyper_util::server::graceful::GracefulShutdown;
-use hyper_util::service::TowerToHyperService;
+use hyper_util::rt::TokioTimer;
 use std::future::Future;
+use std::io;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 
 /// The smallest header buffer that hyper accepts, in bytes.
 const MIN_HEADER_BUFFER: usize = 8 << 10;
 /// Pause after a failed accept. The usual cause is a lack of file descriptors, so the
 /// next accept fails as well; without a pause the loop would use a whole processor.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// How many connections are accepted at the shutdown: what the kernel's queue can hold. It
+/// ends the loop if callers connect as fast as they are accepted.
+const MAX_QUEUED: usize = 4_096;
 /// How many connections over the limit are answered at a time; the rest are closed.
 const MAX_REJECTING: usize = 64;
 /// Time limit for answering a connection over the limit.
@@ -25,8 +31,8 @@
 /// The response body for connections over the limit.
 const REJECT_BODY: &str = r#"{"outcome":"unavailable","reason":"too many connections, not started by this submission","retry_after_s":1}"#;
 
-/// Serves `router` until `shutdown` is ready, then takes no more connections, lets every
-/// request in flight end, and returns.
+/// Serves `router` until `shutdown` is ready, then takes no more connections, answers every
+/// request that has arrived, and returns.
 ///
 /// ```
 /// # #[tokio::main(flavor = "current_thread")]
@@ -49,7 +55,7 @@
     let server = Server {
         http: http(limit),
         router,
-        graceful: GracefulShutdown::new(),
+        closing: watch::Sender::new(false),
         free: Arc::new(Semaphore::new(limit.connections)),
         rejecting: Arc::new(Semaphore::new(MAX_REJECTING)),
     };
@@ -57,14 +63,18 @@
         () = server.accept(&listener) => {}
         () = shutdown => {}
     }
-    drop(listener);
-    server.graceful.shutdown().await;
+    if let Err(error) = server.accept_queued(listener) {
+        log::warn!("accepting the last connections of callers: {error}");
+    }
+    server.closing.send_replace(true);
+    server.closing.closed().await;
 }
 
 struct Server {
     http: http1::Builder,
     router: Router,
-    graceful: GracefulShutdown,
+    /// Tells the connections to close; each holds a receiver until it has ended.
+    closing: watch::Sender<bool>,
     free: Arc<Semaphore>,
     rejecting: Arc<Semaphore>,
 }
@@ -82,6 +92,24 @@
         }
     }
 
+    /// Accepts the connections in the kernel's queue, which closing the listener would reset.
+    /// The runtime may not have been told of them yet, so the kernel is asked directly.
+    fn accept_queued(&self, listener: TcpListener) -> io::Result<()> {
+        let listener = listener.into_std()?;
+        for _ in 0..MAX_QUEUED {
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    stream.set_nonblocking(true)?;
+                    self.admit(TcpStream::from_std(stream)?);
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+                Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(())
+    }
+
     /// Serves a connection, or rejects it if too many are open, since more would take
     /// memory and file descriptors from those in use. A rejected connection gets a
     /// response: left in the kernel's queue, it would look like a dead entry to a load
@@ -95,9 +123,8 @@
 
     fn handle(&self, stream: TcpStream, permit: OwnedSemaphorePermit) {
         let _ = stream.set_nodelay(true);
-        let service = TowerToHyperService::new(self.router.clone());
-        let connection = self.http.serve_connection(TokioIo::new(stream), service);
-        let connection = self.graceful.watch(connection);
+        let (http, router) = (self.http.clone(), self.router.clone());
+        let connection = connection::serve(http, router, stream, self.closing.subscribe());
         tokio::spawn(async move {
             if let Err(error) = connection.await {
                 log::debug!("serving a caller's connection: {error}");
@@ -109,9 +136,10 @@
     fn reject(&self, stream: TcpStream) {
         metrics::counter!("cassiarock_caller_connections_refused_total").increment(1);
         if let Ok(permit) = self.rejecting.clone().try_acquire_owned() {
+            let open = self.closing.subscribe();
             tokio::spawn(async move {
                 let _ = tokio::time::timeout(REJECT_TIMEOUT, send_rejection(stream)).await;
-                drop(permit);
+                drop((permit, open));
             });
         }
     }
@@ -131,7 +159,7 @@
 /// broken connection, so the first bytes of the request are awaited. Closing with unread
 /// input would reset the connection and could discard the response, so the input is read
 /// until the caller closes.
-async fn send_rejection(mut stream: TcpStream) -> std::io::Result<()> {
+async fn send_rejection(mut stream: TcpStream) -> io::Result<()> {
     let mut rest = [0; 1024];
     if stream.read(&mut rest).await? == 0 {
         return Ok(());
