Ask the kernel for unread input only on connections that are about to be closed

The shutdown needs reads that see what has arrived before the runtime is told. Outside it they cost one more system call for each request that is waited for, which counts on VMs with an eighth of a core.

--- a/crates/cassiarock-caller/src/server/connection.rs
+++ b/crates/cassiarock-caller/src/server/connection.rs
@@ -56,6 +56,7 @@
         // An error means that the server has been dropped.
         _ = closing.wait_for(|is_closing| *is_closing) => {}
     }
+    input.close();
     let mut drain = pin!(poll_fn(|context| {
         let ended = connection.as_mut().poll(context);
         if ended.is_pending() && input.is_idle() {
--- a/crates/cassiarock-caller/src/server/input.rs
+++ b/crates/cassiarock-caller/src/server/input.rs
@@ -19,6 +19,8 @@
     is_discarded: AtomicBool,
     /// An incomplete request is no longer waited for.
     is_expired: AtomicBool,
+    /// The connection is about to be closed.
+    is_closing: AtomicBool,
 }
 
 impl Input {
@@ -46,6 +48,16 @@
         }
     }
 
+    /// Makes reads ask the kernel for what has arrived.
+    pub(super) fn close(&self) {
+        self.is_closing.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the connection is about to be closed.
+    pub(super) fn is_closing(&self) -> bool {
+        self.is_closing.load(Ordering::Relaxed)
+    }
+
     /// Ends the wait for a first request.
     pub(super) fn expect_none(&self) {
         self.is_used.store(true, Ordering::Relaxed);
--- a/crates/cassiarock-caller/src/server/stream.rs
+++ b/crates/cassiarock-caller/src/server/stream.rs
@@ -14,8 +14,9 @@
 /// How long a caller that is still sending may take to read the last response.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// A socket whose reads see what has arrived even if the runtime has not been told of it
-/// yet, so that a connection is not taken for idle while a request waits in its socket.
+/// A socket whose reads, once it is about to be closed, see what has arrived even if the
+/// runtime has not been told of it yet. So a connection is not taken for idle while a request
+/// waits in its socket.
 ///
 /// Closing with unread input resets the connection, which can discard the last response.
 /// So the shutdown of an unfinished request reads on until the caller closes.
@@ -42,7 +43,8 @@
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
         let polled = match Pin::new(&mut self.socket).poll_read(context, buffer) {
-            Poll::Pending => self.poll_kernel(context, buffer),
+            // A system call for each request that is waited for would be too many.
+            Poll::Pending if self.input.is_closing() => self.poll_kernel(context, buffer),
             ready => ready,
         };
         let length = buffer.filled().len() - before;
@@ -133,6 +135,7 @@
             Some(linger) => linger,
             None => {
                 ready!(Pin::new(&mut self.socket).poll_shutdown(context))?;
+                self.input.close();
                 Box::pin(tokio::time::sleep(LINGER_TIMEOUT))
             }
         };
