Saturate sums of clocks and amounts that other processes report

An upstream that reports the largest clock or capacity made sums overflow: in a build with overflow checks the actor panicked and the process ended; in a release build the sum wrapped, so that leases were requested until a time long past, and the room kept free for urgent jobs was computed from nearly nothing.

The sums in the lease, the fence, the reserve and the admission saturate now.

--- a/crates/cassiarock-transient/src/host/incarnations.rs
+++ b/crates/cassiarock-transient/src/host/incarnations.rs
@@ -103,7 +103,7 @@
         self.lose_all(Outcome::Crashed, "the upstream restarted", now, actions);
         self.lease = Lease::new(worker.clock, now);
         if let Some(started_at) = worker.started_at {
-            self.fence = started_at.max(self.fence + 1);
+            self.fence = started_at.max(self.fence.saturating_add(1));
         }
         let mut previous_incarnations =
             known.as_ref().map(Worker::incarnations).unwrap_or_default();
--- a/crates/cassiarock-transient/src/host/lease.rs
+++ b/crates/cassiarock-transient/src/host/lease.rs
@@ -46,14 +46,14 @@
         };
         self.last_answer = now;
         let guess = self.clock(now, 1.0);
-        if clock > guess || clock + MAX_CLOCK_LAG_MS < guess {
+        if clock > guess || clock.saturating_add(MAX_CLOCK_LAG_MS) < guess {
             self.last_reading = (clock, now);
         }
     }
 
     /// Renews the leases and returns their expiry on the upstream's clock.
     pub(super) fn renew(&mut self, now: Duration) -> u64 {
-        let until = self.clock(now, 1.0) + millis(LEASE);
+        let until = self.clock(now, 1.0).saturating_add(millis(LEASE));
         self.latest_expiry = self.latest_expiry.max(until);
         until
     }
@@ -65,12 +65,13 @@
 
     /// Whether all leases have expired by now, even on the slowest clock allowed.
     pub(super) fn has_lapsed(&self, now: Duration) -> bool {
-        self.clock(now, MIN_CLOCK_RATE) > self.latest_expiry + millis(STOP_MARGIN)
+        let ended = self.latest_expiry.saturating_add(millis(STOP_MARGIN));
+        self.clock(now, MIN_CLOCK_RATE) > ended
     }
 
     /// The estimate of the upstream's clock now, if it runs at this rate.
     fn clock(&self, now: Duration, rate: f64) -> u64 {
         let (clock, at) = self.last_reading;
-        clock + millis(now.saturating_sub(at).mul_f64(rate))
+        clock.saturating_add(millis(now.saturating_sub(at).mul_f64(rate)))
     }
 }
--- a/crates/cassiarock-transient/src/scheduler/admit.rs
+++ b/crates/cassiarock-transient/src/scheduler/admit.rs
@@ -66,12 +66,12 @@
             }
             return Err((Answer::Failed, with_demand(decision("impossible"))));
         }
-        let free_cpu: u64 = open.iter().map(|agent| agent.free().cpu).sum();
+        let free_cpu: u64 = sum(open.iter().map(|agent| agent.free().cpu));
         let (queued_cpu, queued_core_millis) = self.queued_before(active);
         let wait = if queued_cpu.saturating_add(total_cpu(active)) <= free_cpu {
             Duration::ZERO
         } else {
-            let capacity: u64 = open.iter().map(|agent| agent.capacity().cpu).sum();
+            let capacity: u64 = sum(open.iter().map(|agent| agent.capacity().cpu));
             let entries = open.iter().map(|agent| agent.load.entries).max();
             let share = capacity as f64 / 1000.0 / f64::from(entries.unwrap_or(1).max(1));
             // At the onset of a burst little has been placed yet. The rate to come is at least an
@@ -126,6 +126,11 @@
     }
 }
 
+/// The sum of amounts that callers or other processes name.
+fn sum(amounts: impl Iterator<Item = u64>) -> u64 {
+    amounts.fold(0, u64::saturating_add)
+}
+
 /// How long it takes to place so much work at `rate` cores.
 fn time_to_place(core_millis: f64, rate: f64) -> Duration {
     let wait = Duration::try_from_secs_f64(core_millis / rate / 1000.0);
@@ -140,12 +145,12 @@
         let waiting = waiting.filter(|task| matches!(task.phase, Phase::Waiting(_)));
         stage.demand.cpu.saturating_mul(waiting.count() as u64)
     });
-    demands.fold(0, u64::saturating_add)
+    sum(demands)
 }
 
 /// The processor demand of all tasks, in thousandths of a core.
 fn total_cpu(active: &ActiveJob) -> u64 {
     let stages = active.job.stages.iter();
     let demands = stages.map(|stage| stage.demand.cpu.saturating_mul(stage.task_count.into()));
-    demands.fold(0, u64::saturating_add)
+    sum(demands)
 }
--- a/crates/cassiarock-transient/src/scheduler/place.rs
+++ b/crates/cassiarock-transient/src/scheduler/place.rs
@@ -74,8 +74,11 @@
         }
         let agents = self.agents.values();
         let open = agents.filter(|agent| agent.is_open(now) && agent.serves(&active.class.service));
-        let (free, capacity) = open.fold((0, 0), |(free, capacity), agent| {
-            (free + agent.free().cpu, capacity + agent.capacity().cpu)
+        let (free, capacity) = open.fold((0_u64, 0_u64), |(free, capacity), agent| {
+            (
+                free.saturating_add(agent.free().cpu),
+                capacity.saturating_add(agent.capacity().cpu),
+            )
         });
         let reserved = (reserved * capacity as f64) as u64;
         let mut demands = active
