Test that deep or huge frames of a peer are errors

Nested arrays, maps and tags, and claimed lengths, exhaust neither the stack nor the memory of the process that decodes them.

--- a/crates/cassiarock-wire/tests/codec.rs
+++ b/crates/cassiarock-wire/tests/codec.rs
@@ -54,3 +54,36 @@
     bytes.push(0);
     assert!(decode(&bytes).is_err());
 }
+
+/// The bytes of a frame with this message about transient jobs, whose one field is `field`,
+/// followed by `rest`.
+fn transient(message: &str, field: &str, rest: &[u8]) -> Vec<u8> {
+    let text = |text: &str| [&[0x60 + text.len() as u8], text.as_bytes()].concat();
+    let names = ["Transient", message, field];
+    let names = names
+        .iter()
+        .flat_map(|name| [vec![0xa1], text(name)].concat());
+    names.chain(rest.iter().copied()).collect()
+}
+
+// A peer of another version, or a faulty one, must not exhaust the stack or the memory.
+#[parameterized(
+    nested_arrays = { &[0x81; 100_000] },
+    nested_arrays_without_an_end = { &[0x9f; 100_000] },
+    nested_maps = { &[0xa1; 100_000] },
+    nested_tags = { &[0xc1; 100_000] },
+    an_array_of_claimed_length = { &[0x9b, 0x7f, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff] },
+    bytes_of_claimed_length = { &[0x5b, 0x7f, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff] },
+    text_of_claimed_length = { &[0x7b, 0x7f, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff] },
+)]
+fn a_frame_that_is_too_deep_or_claims_to_be_huge_is_an_error(bytes: &[u8]) {
+    assert!(decode(bytes).is_err());
+    for (message, field) in [
+        ("Configuration", "packed"),
+        ("Ended", "endings"),
+        ("Orders", "orders"),
+        ("AgentBeat", "unknown"),
+    ] {
+        assert!(decode(&transient(message, field, bytes)).is_err());
+    }
+}
