Initialise less of the buffer for a read that mostly finds nothing

The read that asks the kernel directly initialised the whole of hyper's buffer each time, although there is mostly nothing to read. It now takes 512 bytes at most; the next read takes the rest.

--- a/crates/cassiarock-caller/src/server/stream.rs
+++ b/crates/cassiarock-caller/src/server/stream.rs
@@ -11,6 +11,9 @@
 use tokio::net::TcpStream;
 use tokio::time::Sleep;
 
+/// The most bytes that are read before the runtime knows that there are any. The buffer is
+/// initialised for them each time, mostly in vain.
+const MAX_PART: usize = 512;
 /// How long a caller that is still sending may take to read the last response.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -58,7 +61,8 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let budget = ready!(tokio::task::coop::poll_proceed(context));
-        match (&*SockRef::from(&self.socket)).read(buffer.initialize_unfilled()) {
+        let part = buffer.initialize_unfilled_to(buffer.remaining().min(MAX_PART));
+        match (&*SockRef::from(&self.socket)).read(part) {
             Ok(length) => {
                 budget.made_progress();
                 buffer.advance(length);
