Answer the callers of unfinished jobs when an entry has to end

Callers that waited for a job saw their connection break when the entry came to its drain limit or got a second signal, instead of the final answer "failed, may have run".

Cause: the entry ended its actor, on which the API gives that answer to each waiting caller, and then the process at once; how many answers were written before that was a matter of chance.

The entry now waits until they are written, for ANSWER_TIMEOUT, 500 ms, at most. "May have run" is always true of them, whatever agents still do.

--- a/crates/cassiarock-entry/src/run.rs
+++ b/crates/cassiarock-entry/src/run.rs
@@ -27,6 +27,10 @@
 /// How long to wait for the last answers to be written to the sockets.
 const FLUSH_TIME: Duration = Duration::from_millis(100);
 
+/// How long the callers of unfinished jobs may take to receive their answers when the entry
+/// has to end.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// The addresses on which a running entry listens.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Addresses {
@@ -172,8 +176,8 @@
             () = until(&mut shutdown, Stage::Stop) => {}
             () = tokio::time::sleep(limit) => {}
         }
-        self.server.abort();
         self.parts.shutdown().await;
+        self.answer_rest().await;
         let status = self.status.borrow();
         Ok(Report {
             jobs: status.jobs,
@@ -181,6 +185,18 @@
         })
     }
 
+    /// Waits until the callers of unfinished jobs are told that these may have run: the API
+    /// says so once the actor, which would have answered them, has ended.
+    async fn answer_rest(&mut self) {
+        if self.server.is_finished() {
+            return;
+        }
+        self.close.send_replace(Stage::Drain);
+        // An error means that some callers did not take their answers in time.
+        let _ = tokio::time::timeout(ANSWER_TIMEOUT, &mut self.server).await;
+        self.server.abort();
+    }
+
     async fn drain(&mut self) {
         log::info!(entry:% = self.process; "leaving");
         // The actor accepts inputs as long as its task runs.
