--- a/crates/cassiarock-caller/src/server/stream.rs
+++ b/crates/cassiarock-caller/src/server/stream.rs
@@ -11,9 +11,6 @@
 use tokio::net::TcpStream;
 use tokio::time::Sleep;
 
-/// The most bytes that are read before the runtime knows that there are any. The buffer is
-/// initialised for them each time, mostly in vain.
-const MAX_PART: usize = 512;
 /// How long a caller that is still sending may take to read the last response.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -63,8 +60,7 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let budget = ready!(tokio::task::coop::poll_proceed(context));
-        let part = buffer.initialize_unfilled_to(buffer.remaining().min(MAX_PART));
-        match (&*SockRef::from(&self.socket)).read(part) {
+        match (&*SockRef::from(&self.socket)).read(buffer.initialize_unfilled()) {
             Ok(length) => {
                 budget.made_progress();
                 buffer.advance(length);
