Answer a job as failed only for upstreams that are known to have crashed

What callers saw: 200 with the state 'failed' for a job of which no task had failed. It was accepted and lost: the answer says that another try is useless.

Cause: a task under which two upstreams had 'crashed' was given up, and each upstream that stopped answering until its leases had expired counted as crashed: one that hung for a second and ran on, and one that had announced that it was leaving.

Why it works: a loss makes a task a suspect, as before, but only another incarnation of the upstream, announced by the same agent, confirms a crash; room or results of the same incarnation refute it, and a loss of an upstream that leaves counts for nothing. Only two confirmed crashes fail the job. A task with two unsettled losses waits up to three seconds for the verdict, so that one that does crash upstreams doesn't go on while they are away; also when its job is submitted again.

The tests' crash now announces the new incarnation, as agents do; the old code passes them that way. In the lab a down upstream told the time, which made its agent believe that it answered; it doesn't any more.

--- a/crates/cassiarock-lab/src/simulation/agents.rs
+++ b/crates/cassiarock-lab/src/simulation/agents.rs
@@ -247,8 +247,9 @@
             started_at: self.now,
             end,
         };
-        let clock = Some(millis(self.now));
         let agent = &mut self.agents[number];
+        // Nothing listens at an upstream that is down, which tells the time no more than a silent one.
+        let clock = (!agent.is_upstream_down).then(|| millis(self.now));
         let started = if agent.is_upstream_down {
             Err(StartResponse::Refused)
         } else {
--- a/crates/cassiarock-transient/src/scheduler/active_job.rs
+++ b/crates/cassiarock-transient/src/scheduler/active_job.rs
@@ -75,6 +75,23 @@
         (self.refusals < crash::MAX_REFUSALS).then(|| last.agent.name.clone())
     }
 
+    /// The losses of upstreams that were crashes.
+    pub(super) fn confirmed_crashes(&self) -> impl Iterator<Item = &Crash> {
+        self.crashes.iter().filter(|crash| crash.is_confirmed)
+    }
+
+    /// Whether too many upstreams may have crashed under it to place it before that is settled.
+    pub(super) const fn awaits_verdict(&self) -> bool {
+        self.crashes.len() >= crash::MAX_CRASHES
+    }
+
+    /// Delays its next attempt if it awaits a verdict.
+    pub(super) fn wait_for_verdict(&mut self) {
+        if let Some(last) = self.crashes.last().filter(|_| self.awaits_verdict()) {
+            self.phase = Phase::Waiting(last.at + crash::VERDICT_TIMEOUT);
+        }
+    }
+
     /// The agent that has the task, if any.
     pub(super) const fn agent(&self) -> Option<&Process> {
         match &self.phase {
@@ -268,8 +285,10 @@
     /// The agents whose upstreams a task has crashed, if that is a reason to give up the job.
     pub(super) fn crashed_agents(&self) -> Option<String> {
         let mut tasks = self.tasks.iter().flatten();
-        let at_fault = tasks.find(|task| task.crashes.len() >= crash::MAX_CRASHES)?;
-        let agents = at_fault.crashes.iter().map(|crash| crash.agent.to_string());
+        let at_fault = tasks.find(|task| task.confirmed_crashes().count() >= crash::MAX_CRASHES)?;
+        let agents = at_fault
+            .confirmed_crashes()
+            .map(|crash| crash.agent.to_string());
         Some(agents.collect::<Vec<_>>().join(","))
     }
 
--- a/crates/cassiarock-transient/src/scheduler/crash.rs
+++ b/crates/cassiarock-transient/src/scheduler/crash.rs
@@ -4,16 +4,24 @@
 //! All tasks that were lost with an upstream are suspects. A suspect runs next where no other
 //! suspect of the same loss runs, so that a second crash shows which task is at fault, and beside
 //! as few other tasks as possible. A task under which two upstreams have crashed is given up.
+//!
+//! An upstream that is lost has not always crashed: it may be cut off, or hang. Its next
+//! incarnation confirms a crash; an answer of the same incarnation refutes it.
 
 use super::active_job::{ActiveJob, Task};
+use crate::Incarnation;
 use crate::message::Attempt;
 use cassiarock_id::{Name, Process};
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
 
-/// The number of crashes under a task with which it is given up.
+/// The number of confirmed crashes under a task with which it is given up.
 pub(super) const MAX_CRASHES: usize = 2;
 
+/// How long a task that may have crashed `MAX_CRASHES` upstreams waits for these to be confirmed
+/// or refuted. An upstream that crashed is back within seconds.
+pub(super) const VERDICT_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// A suspect that was refused this often, by agents that run another suspect of the same loss, may
 /// run beside one: there are too few other upstreams.
 pub(super) const MAX_REFUSALS: u32 = 3;
@@ -40,7 +48,33 @@
 pub(super) struct Crash {
     /// The agent whose upstream was lost.
     pub(super) agent: Process,
-    at: Duration,
+    pub(super) at: Duration,
+    /// Whether another incarnation of the upstream has started.
+    pub(super) is_confirmed: bool,
+}
+
+/// What became of an upstream that was lost.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Verdict {
+    /// It has started again.
+    Crashed,
+    /// It answers again and has run all the time.
+    Alive,
+}
+
+impl Verdict {
+    /// Applies the verdict on the upstream of `agent` to the crashes under a task.
+    pub(super) fn apply(self, crashes: &mut Vec<Crash>, agent: &Process) {
+        match self {
+            Self::Crashed => {
+                let last = crashes.iter_mut().rfind(|crash| crash.agent == *agent);
+                if let Some(crash) = last {
+                    crash.is_confirmed = true;
+                }
+            }
+            Self::Alive => crashes.retain(|crash| crash.agent != *agent || crash.is_confirmed),
+        }
+    }
 }
 
 /// The upstreams lost within `COMMON_LOSS_WINDOW`, and the crashes under the tasks of recent jobs.
@@ -48,6 +82,8 @@
 pub(super) struct Crashes {
     losses: VecDeque<(Duration, Process)>,
     jobs: HashMap<Name, JobCrashes>,
+    /// The incarnations that were lost and not heard of since, by their agents.
+    unsettled: BTreeMap<Process, Incarnation>,
 }
 
 /// The tasks of a job under which upstreams have crashed, by stage and index.
@@ -95,6 +131,34 @@
         }
     }
 
+    /// Records which incarnation an agent has lost, until [`Self::settle`] knows what became of it.
+    pub(super) fn await_verdict(&mut self, agent: &Process, lost: Incarnation) {
+        self.unsettled.insert(agent.clone(), lost);
+    }
+
+    /// Returns what became of the upstream that an agent has lost, if that is known now: its
+    /// `present` incarnation is another one, or the same and `answers`.
+    pub(super) fn settle(
+        &mut self,
+        agent: &Process,
+        present: &Incarnation,
+        answers: bool,
+    ) -> Option<Verdict> {
+        let lost = self.unsettled.get(agent)?;
+        let verdict = match (present.differs_from(lost), answers) {
+            (true, _) => Verdict::Crashed,
+            (false, true) => Verdict::Alive,
+            (false, false) => return None,
+        };
+        self.unsettled.remove(agent);
+        for job in self.jobs.values_mut() {
+            for crashes in job.tasks.values_mut() {
+                verdict.apply(crashes, agent);
+            }
+        }
+        Some(verdict)
+    }
+
     /// Whether no crash within `RETENTION` is known.
     pub(super) fn is_empty(&self, now: Duration) -> bool {
         let mut jobs = self.jobs.values();
@@ -120,7 +184,11 @@
             return;
         }
         let agent = agent.clone();
-        task.crashes.push(Crash { agent, at: now });
+        task.crashes.push(Crash {
+            agent,
+            at: now,
+            is_confirmed: false,
+        });
         if self.jobs.len() >= MAX_JOBS && !self.jobs.contains_key(job) {
             return;
         }
@@ -146,6 +214,7 @@
                 .and_then(|stage| stage.get_mut(*index));
             if let Some(task) = task {
                 task.crashes.clone_from(crashes);
+                task.wait_for_verdict();
             }
         }
     }
--- a/crates/cassiarock-transient/src/scheduler/endings.rs
+++ b/crates/cassiarock-transient/src/scheduler/endings.rs
@@ -2,7 +2,8 @@
 
 use super::active_job::{ActiveJob, Phase, Task};
 use super::{Action, Answer, Latency, Scheduler, job_decision};
-use crate::message::{AttemptResult, Outcome};
+use crate::message::{AttemptResult, Outcome, Upstream};
+use crate::{Decision, Resources};
 use cassiarock_id::Process;
 use std::time::Duration;
 
@@ -73,8 +74,13 @@
         actions: &mut Vec<Action>,
     ) {
         let number = ending.attempt.number;
-        let is_suspect = self.crashes.record_loss(from, self.agents.len(), now);
-        if !is_suspect {
+        let upstream = self.agents.get(from);
+        let upstream = upstream.and_then(|agent| agent.upstream.as_ref());
+        // An upstream that leaves was not crashed by its tasks.
+        let staying = upstream.filter(|upstream| !upstream.is_leaving);
+        let lost = staying.map(Upstream::incarnation);
+        let is_suspect = lost.is_some() && self.crashes.record_loss(from, self.agents.len(), now);
+        if lost.is_some() && !is_suspect {
             self.crashes.clear_common(self.jobs.values_mut());
         }
         let Some(active) = self.jobs.get_mut(&number) else {
@@ -86,22 +92,62 @@
             .with("stage", ending.attempt.stage)
             .with("index", ending.attempt.index)
             .with("ran_ms", ending.ran.as_millis())
-            .with("lost_together", !is_suspect);
+            .with("leaving", lost.is_none())
+            .with("lost_together", lost.is_some() && !is_suspect);
         if let Some(task) = active.current_task(from, &ending.attempt) {
             place_again(task, from, ending.outcome, now);
-            if is_suspect && self.mechanisms.suspicion {
+            if let Some(lost) = lost.filter(|_| is_suspect && self.mechanisms.suspicion) {
                 task.refusals = 0;
                 self.crashes.add(&id, &ending.attempt, task, from, now);
+                self.crashes.await_verdict(from, lost);
+                task.wait_for_verdict();
             }
             decision = decision.with("crashes", task.crashes.len());
         }
         actions.push(Action::Log(decision.failed()));
-        match active.crashed_agents() {
-            Some(_) => {
-                let reason = "a task of it crashes upstreams";
-                self.fail(number, Answer::Failed, reason, now, actions);
+        self.requeue(number);
+    }
+
+    /// Confirms or refutes the crashes of an agent's upstream, if it has been heard of since, and
+    /// fails the jobs with tasks that are now known to crash upstreams.
+    pub(super) fn settle_crashes(
+        &mut self,
+        from: &Process,
+        has_results: bool,
+        now: Duration,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(agent) = self.agents.get(from) else {
+            return;
+        };
+        let Some(present) = agent.upstream.as_ref().map(Upstream::incarnation) else {
+            return;
+        };
+        let answers = has_results || agent.load.free != Resources::default();
+        let Some(verdict) = self.crashes.settle(from, &present, answers) else {
+            return;
+        };
+        let decision = Decision::new("upstream heard of again", "", "")
+            .with("agent", from)
+            .with("upstream", &present)
+            .with("verdict", format_args!("{verdict:?}"));
+        actions.push(Action::Log(decision));
+        let mut at_fault = Vec::new();
+        for active in self.jobs.values_mut() {
+            for task in active.tasks.iter_mut().flatten() {
+                let awaited_verdict = task.awaits_verdict();
+                verdict.apply(&mut task.crashes, from);
+                if awaited_verdict && !task.awaits_verdict() && task.agent().is_none() {
+                    task.phase = Phase::Waiting(now);
+                }
             }
-            None => self.requeue(number),
+            if active.crashed_agents().is_some() {
+                at_fault.push(active.number);
+            }
+        }
+        for number in at_fault {
+            let reason = "a task of it crashes upstreams";
+            self.fail(number, Answer::Failed, reason, now, actions);
         }
     }
 
--- a/crates/cassiarock-transient/src/scheduler/link.rs
+++ b/crates/cassiarock-transient/src/scheduler/link.rs
@@ -2,7 +2,7 @@
 
 use super::agent::Agent;
 use super::{Action, Scheduler};
-use crate::message::{CapacityRequest, Message, Order};
+use crate::message::{CapacityRequest, Message, Order, Outcome};
 use crate::timing::HEARTBEAT_INTERVAL;
 use crate::{Decision, evacuation};
 use cassiarock_id::{Name, Process};
@@ -60,6 +60,7 @@
         };
         agent.last_heard = now;
         self.may_place = true;
+        let has_results = has_results(&message);
         match message {
             Message::AgentHeartbeat { clock, load } => {
                 agent.clock = agent.clock.max(clock);
@@ -101,6 +102,7 @@
             | Message::AskDirectory
             | Message::Evacuations(_) => {}
         }
+        self.settle_crashes(from, has_results, now, &mut actions);
         actions
     }
 
@@ -165,3 +167,12 @@
         }
     }
 }
+
+/// Whether a message reports results of an upstream that answers.
+fn has_results(message: &Message) -> bool {
+    let Message::Ended { results, .. } = message else {
+        return false;
+    };
+    let is_answer = |outcome| matches!(outcome, Outcome::Done | Outcome::Failed);
+    results.iter().all(|result| is_answer(result.outcome)) && !results.is_empty()
+}
--- a/crates/cassiarock-transient/tests/scheduler/crashes.rs
+++ b/crates/cassiarock-transient/tests/scheduler/crashes.rs
@@ -2,12 +2,25 @@
 
 use crate::harness::{CAPACITY, Harness, agent, ms};
 use cassiarock_id::Process;
+use cassiarock_transient::Resources;
 use cassiarock_transient::message::{AttemptResult, Load, Message, Outcome};
 use cassiarock_transient::scheduler::Answer;
 use std::collections::BTreeSet;
 
 /// Crashes the upstream of an agent. It is back at once with its whole capacity free.
 fn crash(harness: &mut Harness, agent: &Process) {
+    report_loss(harness, agent);
+    restart(harness, agent);
+}
+
+/// Lets the upstream of an agent fall silent until its leases have expired.
+fn lose(harness: &mut Harness, agent: &Process) {
+    report_loss(harness, agent);
+    harness.poll();
+}
+
+/// Delivers the loss of all tasks of an agent with its upstream.
+fn report_loss(harness: &mut Harness, agent: &Process) {
     let (lost, kept): (Vec<_>, Vec<_>) = harness
         .placed
         .drain(..)
@@ -23,15 +36,38 @@
         results: results.collect(),
         load: Load {
             last_serial: u64::MAX,
-            free: CAPACITY,
             slowdown_percent: 100,
             ..Load::default()
         },
     };
     harness.deliver(agent, message);
+}
+
+/// Starts another incarnation of the upstream of an agent.
+fn restart(harness: &mut Harness, agent: &Process) {
+    let id = format!("u-{}-since-{}", agent.name, harness.now.as_millis());
+    harness.announce(agent, &id, false);
+    harness.heartbeat_of(agent, CAPACITY);
     harness.poll();
 }
 
+/// Passes time in which an agent hears nothing of its upstream.
+fn advance_without(harness: &mut Harness, silent: &[Process], millis: u64) {
+    for _ in 0..millis / 10 {
+        harness.now += ms(10);
+        let agents: Vec<Process> = harness.scheduler.linked_agents().cloned().collect();
+        for agent in agents {
+            let room = if silent.contains(&agent) {
+                Resources::default()
+            } else {
+                CAPACITY
+            };
+            harness.heartbeat_of(&agent, room);
+        }
+        harness.poll();
+    }
+}
+
 fn agent_of(harness: &Harness, number: u64) -> Option<Process> {
     let mut placed = harness.placed.iter();
     let found = placed.find(|task| task.attempt.number == number);
@@ -167,3 +203,104 @@
     );
     assert!(other < 8, "the upstream that is back has some as well");
 }
+
+// An upstream hung and another one left at short notice. Their job was answered as failed, though no
+// task of it had failed or crashed anything.
+#[test]
+fn a_job_whose_upstreams_were_lost_without_a_crash_is_not_failed() {
+    let mut harness = Harness::new(6);
+    harness.submit(1, 1, 400, 9_000);
+    let hung = agent_of(&harness, 1).unwrap();
+    lose(&mut harness, &hung);
+    harness.advance(600);
+    let leaving = agent_of(&harness, 1).unwrap();
+    let id = format!("u-{}", leaving.name);
+    harness.announce(&leaving, &id, true);
+    harness.advance(200);
+    lose(&mut harness, &leaving);
+    assert_eq!(harness.answer(1), None);
+    harness.advance(20);
+    let task = harness.placed[0].attempt;
+    harness.end(task, Outcome::Done);
+    assert_eq!(harness.answer(1), Some(Answer::Completed));
+}
+
+// Two upstreams were cut off from their agents one after the other and ran on.
+#[test]
+fn a_job_whose_lost_upstreams_answer_again_is_placed_at_once() {
+    let mut harness = Harness::new(6);
+    harness.submit(1, 1, 400, 9_000);
+    let first = agent_of(&harness, 1).unwrap();
+    lose(&mut harness, &first);
+    let silent = [first.clone()];
+    advance_without(&mut harness, &silent, 600);
+    let second = agent_of(&harness, 1).unwrap();
+    lose(&mut harness, &second);
+    let silent = [first, second];
+    advance_without(&mut harness, &silent, 100);
+    assert_eq!(harness.answer(1), None);
+    assert_eq!(agent_of(&harness, 1), None, "it waits for a verdict");
+    harness.advance(20);
+    assert!(agent_of(&harness, 1).is_some());
+}
+
+// The caller of a job that may have crashed two upstreams submitted it again before they were back.
+#[test]
+fn a_job_that_is_submitted_again_waits_for_the_verdict_on_its_crashes() {
+    let mut harness = Harness::new(6);
+    harness.submit(1, 1, 200, 1_900);
+    let mut silent = Vec::new();
+    for _ in 0..2 {
+        let lost = agent_of(&harness, 1).unwrap();
+        lose(&mut harness, &lost);
+        silent.push(lost);
+        advance_without(&mut harness, &silent, 600);
+    }
+    advance_without(&mut harness, &silent, 800);
+    assert_eq!(harness.answer(1), Some(Answer::GivenUp));
+    let job = crate::harness::job(1, 1, 200);
+    harness.submit_job(2, job, 9_000);
+    assert!(harness.placed.is_empty());
+    for lost in &silent {
+        restart(&mut harness, lost);
+    }
+    assert_eq!(harness.answer(2), Some(Answer::Failed));
+}
+
+// Two upstreams were lost for good, which says nothing of the task that ran there.
+#[test]
+fn a_job_whose_upstreams_stay_away_is_placed_again_after_a_while() {
+    let mut harness = Harness::new(6);
+    harness.submit(1, 1, 2_000, 20_000);
+    let mut silent = Vec::new();
+    for _ in 0..2 {
+        let lost = agent_of(&harness, 1).unwrap();
+        lose(&mut harness, &lost);
+        silent.push(lost);
+        advance_without(&mut harness, &silent, 600);
+    }
+    assert_eq!(agent_of(&harness, 1), None);
+    advance_without(&mut harness, &silent, 3_000);
+    assert_eq!(harness.answer(1), None);
+    assert!(agent_of(&harness, 1).is_some());
+}
+
+// Upstreams that crash are away for seconds. Their task must not go on crashing others meanwhile.
+#[test]
+fn a_task_is_given_up_once_the_restarts_of_two_upstreams_confirm_their_crashes() {
+    let mut harness = Harness::new(6);
+    harness.submit(1, 1, 2_000, 20_000);
+    let mut silent = Vec::new();
+    for _ in 0..2 {
+        let lost = agent_of(&harness, 1).unwrap();
+        lose(&mut harness, &lost);
+        silent.push(lost);
+        advance_without(&mut harness, &silent, 600);
+    }
+    advance_without(&mut harness, &silent, 1_000);
+    assert_eq!(agent_of(&harness, 1), None);
+    restart(&mut harness, &silent[0]);
+    assert_eq!(harness.answer(1), None);
+    restart(&mut harness, &silent[1]);
+    assert_eq!(harness.answer(1), Some(Answer::Failed));
+}
--- a/crates/cassiarock-transient/tests/scheduler/harness.rs
+++ b/crates/cassiarock-transient/tests/scheduler/harness.rs
@@ -73,15 +73,21 @@
     /// Links an agent with an idle upstream.
     pub fn add_agent(&mut self, agent: Process) {
         self.scheduler.link(&agent, &DATA_CENTRE.into(), self.now);
+        let id = format!("u-{}", agent.name);
+        self.announce(&agent, &id, false);
+    }
+
+    /// Delivers what an agent says of its upstream.
+    pub fn announce(&mut self, agent: &Process, id: &str, is_leaving: bool) {
         let upstream = Upstream {
-            id: format!("u-{}", agent.name).into(),
+            id: id.into(),
             started_at: None,
             service: "s".into(),
             capacity: CAPACITY,
             labels: vec![],
-            is_leaving: false,
+            is_leaving,
         };
-        self.deliver(&agent, Message::Upstream(Some(upstream)));
+        self.deliver(agent, Message::Upstream(Some(upstream)));
     }
 
     /// Delivers a message of an agent to the entry.
