--- a/crates/cassiarock-dispatch/src/reload.rs
+++ b/crates/cassiarock-dispatch/src/reload.rs
@@ -15,7 +15,7 @@
 /// when they have changed. A file that cannot be read changes nothing.
 ///
 /// The first read is at once: the settings may have changed since the process read them at its
-/// start, and a SIGHUP until now has reached nobody.
+/// start, and a SIGHUP received before this function runs has no effect.
 pub(crate) async fn reload(file: PathBuf, mut known: Settings, seeds: mpsc::Sender<SocketAddr>) {
     let Ok(mut hangup) = signal(SignalKind::hangup()) else {
         log::warn!("cannot handle SIGHUP; the settings are not reloaded");
--- a/src/bin/cassiarockd/program.rs
+++ b/src/bin/cassiarockd/program.rs
@@ -2,7 +2,7 @@
 
 use crate::command::{Command, Role, Source, options};
 use crate::logging;
-use crate::signal::{Host, Signals};
+use crate::signal::{Signals, Supervisor};
 use bpaf::{Args, ParseFailure};
 use cassiarock_process::{Report, Stage};
 use cassiarock_settings::{Agent, Entry};
@@ -35,10 +35,10 @@
 }
 
 impl Settings {
-    const fn host(&self) -> Host {
+    const fn supervisor(&self) -> Supervisor {
         match self {
-            Self::Entry(_) | Self::Agent(_) => Host::Native,
-            Self::Platform(..) => Host::Platform,
+            Self::Entry(_) | Self::Agent(_) => Supervisor::Native,
+            Self::Platform(..) => Supervisor::Platform,
         }
     }
 }
@@ -109,7 +109,7 @@
 
 async fn serve(settings: Settings) -> Result<Report, BoxedError> {
     let (stage_sender, stage) = watch::channel(Stage::Run);
-    tokio::spawn(Signals::new(settings.host())?.forward(stage_sender));
+    tokio::spawn(Signals::new(settings.supervisor())?.forward(stage_sender));
     match settings {
         Settings::Entry(settings) => entry(settings, stage).await,
         Settings::Agent(settings) => agent(settings, stage).await,
--- a/src/bin/cassiarockd/signal.rs
+++ b/src/bin/cassiarockd/signal.rs
@@ -8,7 +8,7 @@
 
 /// Who runs the process, and with it what signals mean.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Host {
+pub enum Supervisor {
     /// An operator or a service manager: a second SIGTERM stops the process. There is nothing to
     /// reload, so SIGHUP changes nothing.
     Native,
@@ -24,7 +24,7 @@
     Interrupt,
 }
 
-impl Host {
+impl Supervisor {
     /// Whether `end` stops a process that is already draining.
     const fn is_stop(self, end: End) -> bool {
         matches!((self, end), (Self::Native, _) | (_, End::Interrupt))
@@ -35,7 +35,7 @@
 /// before the process serves would otherwise kill it without a log line.
 #[derive(Debug)]
 pub struct Signals {
-    host: Host,
+    supervisor: Supervisor,
     terminate: Signal,
     interrupt: Signal,
     hangup: Signal,
@@ -43,11 +43,11 @@
 
 impl Signals {
     /// Installs the signal handlers.
-    pub fn new(host: Host) -> io::Result<Self> {
+    pub fn new(supervisor: Supervisor) -> io::Result<Self> {
         // A process that drains on SIGTERM must not be killed by SIGHUP, so that handler is first.
         let hangup = signal(SignalKind::hangup())?;
         Ok(Self {
-            host,
+            supervisor,
             terminate: signal(SignalKind::terminate())?,
             interrupt: signal(SignalKind::interrupt())?,
             hangup,
@@ -60,7 +60,7 @@
         log::info!("signal: drain");
         stage.send_replace(Stage::Drain);
         let started = Instant::now();
-        while !self.host.is_stop(self.next().await) {
+        while !self.supervisor.is_stop(self.next().await) {
             log::warn!(leaving_ms = started.elapsed().as_millis(); "SIGTERM: already leaving, ignored");
         }
         log::warn!("second signal: stop");
@@ -70,7 +70,7 @@
     }
 
     async fn next(&mut self) -> End {
-        let is_hangup_ignored = self.host == Host::Native;
+        let is_hangup_ignored = self.supervisor == Supervisor::Native;
         loop {
             tokio::select! {
                 _ = self.terminate.recv() => return End::Terminate,
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -41,8 +41,7 @@
         .collect()
 }
 
-// An operator misspells a field. A process that started with the default instead would run
-// unnoticed under a limit that the operator did not choose.
+// A process with a misspelt field started with the default of a limit that the operator had set.
 #[parameterized(
     entry = { DAEMON, &["entry", "--settings"], "entry", "drain_limit", "drain_limt" },
     agent = { DAEMON, &["agent", "--settings"], "agent", "slots", "slot" },
@@ -229,8 +228,7 @@
     file
 }
 
-// The platform replaces a VM whose process is idle. The process must exit on its own with
-// success, otherwise the replacement waits until the platform kills it.
+// The replacement of an idle process waited until the platform killed it.
 #[parameterized(entry = { "entry" }, agent = { "agent" })]
 fn an_idle_process_exits_cleanly_on_sigterm(role: &str) {
     let (code, log) = Daemon::start(role, Format::Text).terminate();
@@ -241,8 +239,7 @@
     );
 }
 
-// A terminal closes, or an operator expects a reload: the process was killed by SIGHUP and its
-// callers were left without an answer.
+// SIGHUP killed the process, and its callers were left without an answer.
 #[parameterized(entry = { "entry" }, agent = { "agent" })]
 fn a_hangup_does_not_end_a_process(role: &str) {
     let mut daemon = Daemon::start(role, Format::Text);
--- a/tests/platform/leaving.rs
+++ b/tests/platform/leaving.rs
@@ -170,8 +170,7 @@
     assert!(!site.witness.has_begun(second));
 }
 
-// Planned work overlaps: an entry that already leaves was told to end again, and ended at once
-// without an answer to its callers.
+// A second SIGTERM ended a leaving entry at once, and its callers got no answer.
 #[tokio::test]
 async fn an_entry_that_is_told_to_end_twice_answers_what_it_has_taken() {
     let mut site = Site::start(1, 1).await;
@@ -186,7 +185,7 @@
     assert!(output.contains("SIGTERM: already leaving"), "{output}");
 }
 
-// The same at an agent, which left its running tasks behind.
+// A second SIGTERM ended a leaving agent at once, and its tasks were broken off.
 #[tokio::test]
 async fn an_agent_that_is_told_to_end_twice_finishes_its_tasks() {
     let mut site = Site::start(1, 1).await;
@@ -200,8 +199,7 @@
     assert!(status.unwrap().is_some_and(|status| status.success()));
 }
 
-// An operator ended a leaving entry at once, and its callers' connections were closed without an
-// answer.
+// SIGINT ended a leaving entry at once, and its callers got no answer.
 #[tokio::test]
 async fn an_entry_that_an_operator_ends_at_once_answers_its_callers_first() {
     let mut site = Site::start(1, 1).await;
@@ -216,8 +214,7 @@
     assert!(status.unwrap().is_some_and(|status| status.success()));
 }
 
-// The load balancer had too few other entries and sent callers to one that was leaving, which
-// refused their connections while it finished its jobs.
+// A leaving entry refused connections while it finished its jobs, also if it was the only one.
 #[tokio::test]
 async fn an_entry_that_finishes_its_jobs_takes_new_connections_until_it_ends() {
     let mut site = Site::start(1, 1).await;
