Test refusals, moves and bounds at the shutdown that were untested

A job whose placement came back full is refused at the shutdown, and nothing of it is placed afterwards; one whose task is being moved is given up; no task is moved whose next attempt would end after the deadline. The waiting job of the leaving tests must not be answered before the signal, and the wait for the handling of signals is bounded.

--- a/crates/cassiarock-transient/tests/scheduler/shutdown.rs
+++ b/crates/cassiarock-transient/tests/scheduler/shutdown.rs
@@ -1,9 +1,10 @@
 //! Jobs of an entry whose process is leaving.
 
-use crate::harness::{CAPACITY, Harness, ms};
+use crate::harness::{CAPACITY, Harness, agent, ms};
 use cassiarock_transient::message::Outcome;
 use cassiarock_transient::scheduler::Answer;
 use std::time::Duration;
+use yare::parameterized;
 
 /// Starts the shutdown with this many milliseconds left.
 fn shut_down(harness: &mut Harness, left: u64) -> Duration {
@@ -22,6 +23,19 @@
     )
 }
 
+/// Advances the time with heartbeats of three agents, of which the one with the task is slow.
+fn advance_slow(harness: &mut Harness, millis: u64) {
+    let slow = harness.placed[0].agent.clone();
+    for _ in 0..millis / 10 {
+        harness.now += ms(10);
+        for agent in [agent(0), agent(1), agent(2)] {
+            let pace = if agent == slow { 400 } else { 100 };
+            harness.heartbeat_paced(&agent, pace);
+        }
+        harness.poll();
+    }
+}
+
 // Its caller's connection was closed without an answer when the process ended.
 #[test]
 fn a_job_that_still_runs_at_the_shutdown_deadline_is_given_up_and_stopped() {
@@ -88,3 +102,44 @@
     harness.advance(250);
     assert_eq!(harness.answer(1), Some(Answer::GivenUp));
 }
+
+#[test]
+fn a_job_that_no_upstream_had_room_for_is_refused_at_the_shutdown() {
+    let mut harness = Harness::new(1);
+    harness.submit(1, 1, 400, 20_000);
+    let task = harness.placed[0].attempt;
+    harness.refuse_full(task);
+    shut_down(&mut harness, 300);
+    harness.advance_full(20);
+    assert!(is_refused(harness.answer(1)), "{:?}", harness.answer(1));
+    harness.advance(500);
+    assert!(harness.placed.is_empty(), "{:?}", harness.placed);
+}
+
+#[test]
+fn a_job_whose_task_is_being_moved_is_given_up_at_the_shutdown_deadline() {
+    let mut harness = Harness::new(3);
+    harness.submit(1, 1, 100, 20_000);
+    let task = harness.placed[0].clone();
+    advance_slow(&mut harness, 300);
+    assert_eq!(harness.halted, [task.attempt]);
+    shut_down(&mut harness, 50);
+    harness.advance(40);
+    assert_eq!(harness.answer(1), None);
+    harness.advance(20);
+    assert_eq!(harness.answer(1), Some(Answer::GivenUp));
+}
+
+#[parameterized(in_time = { 1_000, true }, too_late = { 150, false })]
+fn a_task_is_moved_only_if_its_next_attempt_ends_before_the_shutdown_deadline(
+    left: u64,
+    is_moved: bool,
+) {
+    let mut harness = Harness::new(3);
+    harness.submit(1, 1, 100, 20_000);
+    advance_slow(&mut harness, 200);
+    shut_down(&mut harness, left);
+    advance_slow(&mut harness, 140);
+    assert_eq!(!harness.halted.is_empty(), is_moved);
+    assert_eq!(harness.answer(1), None);
+}
--- a/tests/platform/leaving.rs
+++ b/tests/platform/leaving.rs
@@ -79,8 +79,9 @@
     let entry = &mut site.entries[0];
     entry.process.kill();
     entry.restart();
+    let until = Instant::now() + START;
     while !entry.process.handles(Signal::SIGTERM).unwrap() {
-        std::hint::spin_loop();
+        assert!(Instant::now() < until, "it handles no signals");
     }
     entry.change_settings("graceS = 6", "graceS = 5");
     entry.process.hang_up();
@@ -163,6 +164,7 @@
     let second = "00000000000000b9";
     let waiting = hand_in(&site.entries[0], second, body(1, 2_000), PATIENCE * 4);
     tokio::time::sleep(Duration::from_millis(100)).await;
+    assert!(!waiting.is_finished(), "it was answered before the signal");
     site.entries[0].process.terminate();
     let has_retry_after = true;
     assert_eq!(waiting.await.unwrap(), Reply::Refused { has_retry_after });
