Close callers' connections before a short grace period ends

Callers saw their connections reset when an entry ended that had a grace period of 2 s or less. The wait for the load balancer took 2.5 s whatever the grace period, so the server was never told to close, and the process exited with its connections open. The wait now ends at the latest when the jobs have to be answered, from which on the server answers what it has taken and refuses the rest.

--- a/crates/cassiarock-dispatch/src/run/entry.rs
+++ b/crates/cassiarock-dispatch/src/run/entry.rs
@@ -194,7 +194,7 @@
     async fn answer_all(mut self, deadline: Instant) {
         // Fails only if the actor has ended.
         let _ = self.inputs.send(Input::Leave(deadline)).await;
-        tokio::time::sleep(REMOVAL_DELAY).await;
+        sleep_until(deadline.min(Instant::now() + REMOVAL_DELAY)).await;
         // With too few other entries, the load balancer goes on sending callers to this one.
         let idle = self.statuses.wait_for(|status| status.jobs == 0);
         // Fails only if jobs are left at the deadline, which are being given up, or if the actor has
--- a/tests/platform/leaving.rs
+++ b/tests/platform/leaving.rs
@@ -5,6 +5,7 @@
 use cassiarock_test_support::process::Child;
 use nix::sys::signal::Signal;
 use std::time::{Duration, Instant};
+use yare::parameterized;
 
 /// The pause between the first signal that ends a process and the next one.
 const BETWEEN_SIGNALS: Duration = Duration::from_millis(300);
@@ -232,3 +233,49 @@
     let status = site.entries[0].process.ended(Duration::from_secs(2)).await;
     assert!(status.unwrap().is_some_and(|status| status.success()));
 }
+
+/// The statuses that a caller gets who submits brief jobs, until connections are refused.
+async fn submit_until_refused(url: String, caller: usize) -> Vec<u16> {
+    let client = reqwest::Client::builder()
+        .no_proxy()
+        .pool_max_idle_per_host(0);
+    let client = client.build().unwrap();
+    let mut statuses = Vec::new();
+    loop {
+        let id = format!("{caller:08x}{:08x}", statuses.len());
+        let call = client
+            .post(format!("{url}{id}"))
+            .header("host", "queue.example")
+            .header("request-id", format!("request-{id}"))
+            .header("deadline-ms", PATIENCE.as_millis().to_string())
+            .json(&body(1, 20));
+        match call.send().await {
+            Ok(answer) => statuses.push(answer.status().as_u16()),
+            Err(error) if error.is_connect() => return statuses,
+            Err(error) => panic!("caller {caller}: {error:?} after {statuses:?}"),
+        }
+    }
+}
+
+// The grace period ended before connections were closed, and those that were open got no answer.
+#[parameterized(two_seconds = { "2" }, half_a_second = { "0.5" })]
+#[test_macro(tokio::test)]
+async fn an_entry_with_a_short_grace_period_answers_all_that_it_takes(grace: &str) {
+    let mut site = Site::start(1, 1).await;
+    let entry = &mut site.entries[0];
+    entry.change_settings("graceS = 6", &format!("graceS = {grace}"));
+    entry.process.kill();
+    entry.restart();
+    entry.linked(1, START).await;
+    let url = entry.job("");
+    let callers = (0..16).map(|caller| tokio::spawn(submit_until_refused(url.clone(), caller)));
+    let callers: Vec<_> = callers.collect();
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    entry.process.terminate();
+    for caller in callers {
+        let statuses = caller.await.unwrap();
+        assert!(statuses.contains(&200), "{statuses:?}");
+    }
+    let status = entry.process.ended(Duration::from_secs(2)).await;
+    assert!(status.unwrap().is_some_and(|status| status.success()));
+}
