Leave 600 ms for the last answers of an entry

Callers of jobs that an entry gave up at the end of its grace period had 300 ms to receive their answers: of the 600 ms that were reserved for them, the reserve for the end of the process took half. On a small VM with a slow link that is little. The time for the answers is now a constant of its own, on top of the other reserve.

--- a/crates/cassiarock-dispatch/src/run/entry.rs
+++ b/crates/cassiarock-dispatch/src/run/entry.rs
@@ -44,9 +44,11 @@
 /// Most connections of callers, three quarters of the 4,100 file descriptors of the smallest VMs.
 const MAX_CONNECTIONS: usize = 3_000;
 
-/// The part of the grace period that is left when the last jobs are given up: on a loaded VM with
-/// a slow link it takes some hundred milliseconds until all answers have reached their callers.
-const ANSWER_RESERVE: Duration = Duration::from_millis(600);
+/// How long the last answers may take to reach their callers, whose links may be slow.
+const ANSWER_TIME: Duration = Duration::from_millis(600);
+
+/// The part of the grace period that is left when the last jobs are given up.
+const ANSWER_RESERVE: Duration = ANSWER_TIME.saturating_add(GRACE_RESERVE);
 
 /// Runs an entry until `asked` requests its end, and shuts it down within the grace period.
 ///
@@ -219,7 +221,7 @@
     // Fails only if the actor has ended, and all jobs with it.
     let _ = inputs.send(Input::Leave(Instant::now())).await;
     close.send_replace(Stage::Drain);
-    tokio::time::sleep(ANSWER_RESERVE).await;
+    tokio::time::sleep(ANSWER_TIME).await;
 }
 
 fn create_actor(
--- a/tests/platform/leaving.rs
+++ b/tests/platform/leaving.rs
@@ -16,6 +16,12 @@
 /// How often the start of a process is watched.
 const STARTS: usize = 10;
 
+/// The grace period of all processes.
+const GRACE: Duration = Duration::from_secs(6);
+
+/// The part of the grace period that is left when an entry gives its last jobs up.
+const ANSWER_TIME: Duration = Duration::from_millis(600);
+
 /// Waits until so many tasks have begun.
 async fn begun(site: &Site, tasks: usize) {
     while site.witness.runs().len() < tasks {
@@ -147,8 +153,11 @@
     while !site.witness.has_begun(id) {
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
+    let terminated_at = Instant::now();
     site.entries[0].process.terminate();
     assert_eq!(job.await.unwrap(), Reply::Status(504));
+    let elapsed = terminated_at.elapsed();
+    assert!(elapsed < GRACE - ANSWER_TIME, "{elapsed:?}");
     let status = site.entries[0].process.ended(Duration::from_secs(2)).await;
     assert!(status.unwrap().is_some_and(|status| status.success()));
 }
