Wait for the tasks of an agent's last orders, and count its grace period from the signal

The end of an agent looked at a status from before its actor had handled `Leave`. Orders that were queued ahead of it could start tasks after that look, which were broken off 100 ms later when the process ended. The time for leaving began only once `Leave` had found room in the queue, so that under load the process could outlast its grace period and be killed. Now the status has to say that the agent is leaving, which the actor publishes together with the number of tasks, and the time counts from the signal.

Found by reading. There is no test that failed before: in trials with paused agents, whose orders and SIGTERM were handled in one go when they were resumed, the orders always came first, as the process has a single thread and its main future is polled last. The tests of leaving agents pass.

--- a/crates/cassiarock-dispatch/src/agent.rs
+++ b/crates/cassiarock-dispatch/src/agent.rs
@@ -156,7 +156,12 @@
             }
             Input::Snapshot(snapshot) => self.host.handle_snapshot(&snapshot, now),
             Input::Leave => {
-                self.status.send_modify(|status| status.leaving = true);
+                // Published together: orders earlier in the batch may have started tasks.
+                let running = self.host.attempt_count();
+                self.status.send_modify(|status| {
+                    status.leaving = true;
+                    status.running = running;
+                });
                 self.host.leave()
             }
         }
--- a/crates/cassiarock-dispatch/src/run/agent.rs
+++ b/crates/cassiarock-dispatch/src/run/agent.rs
@@ -1,6 +1,6 @@
 //! Sets up an agent, runs it and shuts it down.
 
-use super::{FLUSH_DELAY, KEY, bind, identity, leave, monitor, seed, serve};
+use super::{FLUSH_DELAY, GRACE_RESERVE, KEY, bind, identity, monitor, seed, serve};
 use crate::agent::{Agent, Batch, Input};
 use crate::mesh::Mesh;
 use crate::orders::UpstreamOrders;
@@ -16,6 +16,7 @@
 use kameo::actor::Spawn;
 use std::path::PathBuf;
 use tokio::sync::{mpsc, watch};
+use tokio::time::{Instant, sleep_until};
 
 /// Runs an agent until `asked` requests its end, and shuts it down within the grace period.
 ///
@@ -32,10 +33,13 @@
         () = until(&mut asked, Stage::Drain) => {}
         fault = running.parts.fault() => return Err(fault.into()),
     }
+    let asked_at = Instant::now();
     log::info!("leaving");
-    // Fails only if the actor has ended.
-    let _ = running.inputs.send(Input::Leave).await;
-    leave(running.wait_until_idle(), &mut asked, grace).await;
+    tokio::select! {
+        () = running.finish_tasks() => {}
+        () = until(&mut asked, Stage::Stop) => {}
+        () = sleep_until(asked_at + grace.saturating_sub(GRACE_RESERVE)) => {}
+    }
     let tasks = running.statuses.borrow().running;
     log::info!(tasks = tasks; "stopped");
     Ok(Report { jobs: 0, tasks })
@@ -111,11 +115,16 @@
         })
     }
 
-    /// Waits until no task is left and the last results have been sent.
-    async fn wait_until_idle(&self) {
+    /// Accepts no new tasks, and waits until none is left and the last results have been sent.
+    async fn finish_tasks(&self) {
+        // Fails only if the actor has ended.
+        let _ = self.inputs.send(Input::Leave).await;
         let mut statuses = self.statuses.clone();
+        // Orders that the actor receives before `Leave` start tasks, so an earlier status does not
+        // tell whether any are left.
+        let idle = statuses.wait_for(|status| status.leaving && status.running == 0);
         // Fails only if the actor has ended.
-        let _ = statuses.wait_for(|status| status.running == 0).await;
+        let _ = idle.await;
         tokio::time::sleep(FLUSH_DELAY).await;
     }
 }
--- a/crates/cassiarock-dispatch/src/run/mod.rs
+++ b/crates/cassiarock-dispatch/src/run/mod.rs
@@ -11,7 +11,7 @@
 use cassiarock_adapter::{Settings, reports};
 use cassiarock_id::Process;
 use cassiarock_peer::Identity;
-use cassiarock_process::{Monitor, Parts, Stage, Status, until};
+use cassiarock_process::{Monitor, Parts, Status};
 use cassiarock_wire::Role;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -42,20 +42,6 @@
     }
 }
 
-/// Waits for `leaving`, but no longer than the grace period allows, and not if the process is
-/// requested to end at once.
-async fn leave(
-    leaving: impl Future<Output = ()>,
-    asked: &mut watch::Receiver<Stage>,
-    grace: Duration,
-) {
-    tokio::select! {
-        () = leaving => {}
-        () = until(asked, Stage::Stop) => {}
-        () = tokio::time::sleep(grace.saturating_sub(GRACE_RESERVE)) => {}
-    }
-}
-
 /// Sends the addresses of the seeds after a delay in which the directory can supply all entries.
 /// Links with seeds are kept for a while, so without the delay the few seeds would have a link with
 /// each process when many start at once.
