Settle the losses of upstreams only for tasks that wait

What callers saw, in tests alone: a job answered 'completed' whose last stage had never run, and jobs answered as failed for a task that was done, or for upstreams that hung, then left as announced and were replaced. A task that crashes upstreams went on doing so.

Cause: the verdict on a lost upstream, which comes seconds later, put a task that was done by then back into the queue, and counted its losses against the job. The notice of leaving was heeded only before the loss. Room named in the same message as the loss, or by an agent that reported it before it marked its upstream as gone, refuted a real crash. Losses with a common cause left the task waiting.

Why it works: a verdict changes only tasks that wait; a task that is done forgets its losses; the same incarnation that says that it leaves is alive; a message with losses settles nothing. A task waits at most 1.5 s for its verdict, so that it is away for less than 3 s with the time until its loss is known.

--- a/crates/cassiarock-transient/src/host/incarnations.rs
+++ b/crates/cassiarock-transient/src/host/incarnations.rs
@@ -219,10 +219,11 @@
         if !self.is_current(incarnation) {
             return actions;
         }
-        self.lose_all(outcome, reason, now, &mut actions);
+        // First, so that the results name no room of an upstream that is gone.
         if let Some(worker) = &mut self.worker {
             worker.is_gone = true;
         }
+        self.lose_all(outcome, reason, now, &mut actions);
         self.is_reconciled = false;
         self.announce_upstream(&mut actions, reason);
         actions
--- a/crates/cassiarock-transient/src/scheduler/active_job.rs
+++ b/crates/cassiarock-transient/src/scheduler/active_job.rs
@@ -85,6 +85,18 @@
         self.crashes.len() >= crash::MAX_CRASHES
     }
 
+    /// Changes the crashes under it. If it no longer awaits a verdict, its next attempt need not wait.
+    pub(super) fn settle(&mut self, change: impl FnOnce(&mut Vec<Crash>)) {
+        let awaited_verdict = self.awaits_verdict();
+        change(&mut self.crashes);
+        if let Phase::Waiting(from) = &mut self.phase
+            && awaited_verdict
+            && self.crashes.len() < crash::MAX_CRASHES
+        {
+            *from = Duration::ZERO;
+        }
+    }
+
     /// Delays its next attempt if it awaits a verdict.
     pub(super) fn wait_for_verdict(&mut self) {
         if let Some(last) = self.crashes.last().filter(|_| self.awaits_verdict()) {
--- a/crates/cassiarock-transient/src/scheduler/crash.rs
+++ b/crates/cassiarock-transient/src/scheduler/crash.rs
@@ -15,12 +15,13 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
 
-/// The number of confirmed crashes under a task with which it is given up.
+/// The number of confirmed crashes under a task with which it is given up. With as many unsettled
+/// losses it waits.
 pub(super) const MAX_CRASHES: usize = 2;
 
 /// How long a task that may have crashed `MAX_CRASHES` upstreams waits for these to be confirmed
-/// or refuted. An upstream that crashed is back within seconds.
-pub(super) const VERDICT_TIMEOUT: Duration = Duration::from_secs(3);
+/// or refuted.
+pub(super) const VERDICT_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// A suspect that was refused this often, by agents that run another suspect of the same loss, may
 /// run beside one: there are too few other upstreams.
@@ -120,7 +121,7 @@
     pub(super) fn clear_common<'a>(&mut self, active: impl Iterator<Item = &'a mut ActiveJob>) {
         let is_sole = |crash: &Crash| self.losses.iter().all(|(_, lost)| *lost != crash.agent);
         for task in active.flat_map(|job| job.tasks.iter_mut().flatten()) {
-            task.crashes.retain(is_sole);
+            task.settle(|crashes| crashes.retain(is_sole));
         }
         for crashes in self
             .jobs
@@ -159,6 +160,13 @@
         Some(verdict)
     }
 
+    /// Forgets the crashes under a task that has been done since.
+    pub(super) fn forget(&mut self, job: &Name, stage: usize, index: usize) {
+        if let Some(record) = self.jobs.get_mut(job) {
+            record.tasks.remove(&(stage, index));
+        }
+    }
+
     /// Whether no crash within `RETENTION` is known.
     pub(super) fn is_empty(&self, now: Duration) -> bool {
         let mut jobs = self.jobs.values();
--- a/crates/cassiarock-transient/src/scheduler/endings.rs
+++ b/crates/cassiarock-transient/src/scheduler/endings.rs
@@ -120,10 +120,13 @@
         let Some(agent) = self.agents.get(from) else {
             return;
         };
-        let Some(present) = agent.upstream.as_ref().map(Upstream::incarnation) else {
+        let Some(upstream) = &agent.upstream else {
             return;
         };
-        let answers = has_results || agent.load.free != Resources::default();
+        let present = upstream.incarnation();
+        let has_room = agent.load.free != Resources::default();
+        // One that says that it leaves is alive, and has no room from then on.
+        let answers = has_results || has_room || upstream.is_leaving;
         let Some(verdict) = self.crashes.settle(from, &present, answers) else {
             return;
         };
@@ -135,11 +138,7 @@
         let mut at_fault = Vec::new();
         for active in self.jobs.values_mut() {
             for task in active.tasks.iter_mut().flatten() {
-                let awaited_verdict = task.awaits_verdict();
-                verdict.apply(&mut task.crashes, from);
-                if awaited_verdict && !task.awaits_verdict() && task.agent().is_none() {
-                    task.phase = Phase::Waiting(now);
-                }
+                task.settle(|crashes| verdict.apply(crashes, from));
             }
             if active.crashed_agents().is_some() {
                 at_fault.push(active.number);
@@ -169,6 +168,10 @@
         let stage = ending.attempt.stage as usize;
         if let Some(task) = active.current_task(from, &ending.attempt) {
             task.phase = Phase::Done;
+            // Whatever the upstreams crashed of, it was not this task.
+            task.crashes.clear();
+            let index = ending.attempt.index as usize;
+            self.crashes.forget(&active.job.id, stage, index);
             active.tasks_left = active.tasks_left.saturating_sub(1);
         }
         let estimate = active.job.stages[stage].estimate.as_secs_f64();
--- a/crates/cassiarock-transient/src/scheduler/link.rs
+++ b/crates/cassiarock-transient/src/scheduler/link.rs
@@ -60,7 +60,7 @@
         };
         agent.last_heard = now;
         self.may_place = true;
-        let has_results = has_results(&message);
+        let news = UpstreamNews::of(&message);
         match message {
             Message::AgentHeartbeat { clock, load } => {
                 agent.clock = agent.clock.max(clock);
@@ -102,7 +102,10 @@
             | Message::AskDirectory
             | Message::Evacuations(_) => {}
         }
-        self.settle_crashes(from, has_results, now, &mut actions);
+        if news != UpstreamNews::Lost {
+            let has_results = news == UpstreamNews::Answers;
+            self.settle_crashes(from, has_results, now, &mut actions);
+        }
         actions
     }
 
@@ -168,11 +171,29 @@
     }
 }
 
-/// Whether a message reports results of an upstream that answers.
-fn has_results(message: &Message) -> bool {
-    let Message::Ended { results, .. } = message else {
-        return false;
-    };
-    let is_answer = |outcome| matches!(outcome, Outcome::Done | Outcome::Failed);
-    results.iter().all(|result| is_answer(result.outcome)) && !results.is_empty()
+/// What a message of an agent tells of its upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum UpstreamNews {
+    /// Tasks were lost with it. Room that the message names may be older than that.
+    Lost,
+    /// Tasks of it have ended.
+    Answers,
+    /// Nothing by itself.
+    None,
+}
+
+impl UpstreamNews {
+    fn of(message: &Message) -> Self {
+        let Message::Ended { results, .. } = message else {
+            return Self::None;
+        };
+        let has = |is_it: fn(&Outcome) -> bool| results.iter().any(|end| is_it(&end.outcome));
+        if has(|outcome| *outcome == Outcome::Crashed) {
+            Self::Lost
+        } else if has(|outcome| matches!(outcome, Outcome::Done | Outcome::Failed)) {
+            Self::Answers
+        } else {
+            Self::None
+        }
+    }
 }
--- a/crates/cassiarock-transient/tests/host/restarts.rs
+++ b/crates/cassiarock-transient/tests/host/restarts.rs
@@ -254,3 +254,18 @@
     });
     assert!(tries.is_some_and(|tries| tries < 20), "{tries:?}");
 }
+
+// The loss of a replaced upstream was reported together with room on it.
+#[test]
+fn the_loss_of_a_replaced_upstream_names_no_room() {
+    let mut harness = Harness::new();
+    harness.order(1, "j", 1);
+    let incarnation = harness.incarnation();
+    let actions = harness.host.handle_replacement(&incarnation, harness.now);
+    harness.apply(actions);
+    assert_eq!(harness.outcome_of(1), Some(Outcome::Crashed));
+    assert_eq!(
+        harness.load.free,
+        cassiarock_transient::Resources::default()
+    );
+}
