Remember the largest kinds of upstream, however many kinds there are

What callers saw, in a test alone: a job that fits only a large upstream that was away was answered as failed, as if none could ever run it.

Cause: each capacity that an upstream ever reported counted as a kind of its own, 64 were kept, and upstreams whose room shrinks and grows pushed the large one out.

Evidence: the new test fails on the code before with Some(Failed).

Why it works: a kind that another one of the same service covers is not kept, so that changes of room add none.

--- a/crates/cassiarock-transient/src/scheduler/upstream_kinds.rs
+++ b/crates/cassiarock-transient/src/scheduler/upstream_kinds.rs
@@ -17,13 +17,22 @@
 
 impl UpstreamKinds {
     pub(super) fn add(&mut self, upstream: &Upstream) {
-        let is_same =
-            |kind: &(Name, Resources)| kind.0 == upstream.service && kind.1 == upstream.capacity;
-        self.0.retain(|kind| !is_same(kind));
+        let covers = |of: &Name, capacity: &Resources, other: &(Name, Resources)| {
+            *of == other.0 && other.1.fits_in(capacity)
+        };
+        let new = (upstream.service.clone(), upstream.capacity);
+        if self
+            .0
+            .iter()
+            .any(|(of, capacity)| covers(of, capacity, &new))
+        {
+            return;
+        }
+        self.0.retain(|kind| !covers(&new.0, &new.1, kind));
         if self.0.len() >= MAX_KINDS {
             self.0.remove(0);
         }
-        self.0.push((upstream.service.clone(), upstream.capacity));
+        self.0.push(new);
     }
 
     /// Whether any upstream of the service ever had the capacity for `demand`.
--- a/crates/cassiarock-transient/tests/scheduler/answers.rs
+++ b/crates/cassiarock-transient/tests/scheduler/answers.rs
@@ -172,3 +172,42 @@
     });
     assert_eq!(halts.count(), 1);
 }
+
+// Upstreams whose room changed pushed a larger kind that was away out of memory, and a job that fits only there was answered as failed.
+#[test]
+fn a_kind_of_upstream_that_is_away_is_not_forgotten() {
+    let mut harness = Harness::new(3);
+    harness.advance(1_500);
+    let big = crate::harness::agent(0);
+    let announce = |harness: &mut Harness, agent: &cassiarock_id::Process, cpu: u64| {
+        let upstream = cassiarock_transient::message::Upstream {
+            id: format!("u-{}", agent.name).into(),
+            started_at: None,
+            service: "s".into(),
+            capacity: cassiarock_transient::Resources {
+                cpu,
+                ..crate::harness::CAPACITY
+            },
+            labels: vec![],
+            is_leaving: false,
+        };
+        harness.deliver(
+            agent,
+            cassiarock_transient::Message::Upstream(Some(upstream)),
+        );
+    };
+    announce(&mut harness, &big, 4 * crate::harness::CAPACITY.cpu);
+    harness.deliver(&big, cassiarock_transient::Message::Upstream(None));
+    for step in 0..70 {
+        announce(
+            &mut harness,
+            &crate::harness::agent(1),
+            crate::harness::CAPACITY.cpu - step,
+        );
+    }
+    harness.advance(50);
+    let mut job = crate::harness::job(1, 1, 200);
+    job.stages[0].demand.cpu = 2 * crate::harness::CAPACITY.cpu;
+    harness.submit_job(1, job, 9_000);
+    assert_ne!(harness.answer(1), Some(Answer::Failed));
+}
