Restore the bound of the close of an idle connection

The bound of an_idle_connection_does_not_hold_the_shutdown was widened from 500 ms to 1 s without a run that had failed. The test passes with 500 ms.

--- a/crates/cassiarock-caller/tests/api/shutdown.rs
+++ b/crates/cassiarock-caller/tests/api/shutdown.rs
@@ -191,7 +191,6 @@
     let stop = Instant::now();
     api.stop();
     stopped(&mut api, TIMEOUT).await;
-    // Less than an incomplete request is waited for.
-    assert!(stop.elapsed() < Duration::from_secs(1));
+    assert!(stop.elapsed() < Duration::from_millis(500));
     drop((unused, callers));
 }
