Refuse a request whose body breaks off instead of calling it too large or invalid

A caller that was still sending its body when the entry ended was answered 413 by the platform's API, and 400 `invalid` by the native one. Both say that the request is at fault, so a sound request was not sent again.

Now 413 is only for a body over the limit. The platform's callers get 503 with Retry-After and the log has the reason; native callers get 429 `unavailable`, which says that this submission has not started. Nothing has been handed to the scheduler before the body is whole, so both are true. A body whose chunks are malformed is still 400 natively.

--- a/crates/cassiarock-caller/src/error.rs
+++ b/crates/cassiarock-caller/src/error.rs
@@ -36,8 +36,15 @@
         /// The time allowed.
         limit: Duration,
     },
-    /// The connection broke while the body was read.
-    #[error("reading the request body from the caller: {reason}")]
+    /// The body is not encoded as its headers say. Correct its `Transfer-Encoding`.
+    #[error("the request body from the caller is not encoded as its headers say: {reason}")]
+    Encoding {
+        /// The library's message.
+        reason: String,
+    },
+    /// The connection broke or the entry shut down while the body was read. Send the request
+    /// again.
+    #[error("reading the request body from the caller, not started by this submission: {reason}")]
     Broken {
         /// The library's message.
         reason: String,
@@ -57,17 +64,21 @@
     pub(crate) fn place(&self) -> &str {
         match self {
             Self::Body { field, .. } | Self::Field { field, .. } => field,
-            Self::Oversized { .. } | Self::Slow { .. } | Self::Broken { .. } => "body",
+            Self::Oversized { .. }
+            | Self::Slow { .. }
+            | Self::Encoding { .. }
+            | Self::Broken { .. } => "body",
         }
     }
 
     /// The HTTP status for it.
     pub(crate) const fn status(&self) -> StatusCode {
         match self {
-            Self::Body { .. } | Self::Broken { .. } => StatusCode::BAD_REQUEST,
+            Self::Body { .. } | Self::Encoding { .. } => StatusCode::BAD_REQUEST,
             Self::Field { .. } => StatusCode::UNPROCESSABLE_ENTITY,
             Self::Oversized { .. } => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Slow { .. } => StatusCode::REQUEST_TIMEOUT,
+            Self::Broken { .. } => StatusCode::TOO_MANY_REQUESTS,
         }
     }
 }
--- a/crates/cassiarock-caller/src/reply.rs
+++ b/crates/cassiarock-caller/src/reply.rs
@@ -9,6 +9,10 @@
 use serde_json::value::RawValue;
 use std::time::Duration;
 
+/// Suggested retry delay of a request that was not taken. The usual cause, a full queue of
+/// calls, is over in milliseconds, but `Retry-After` has a resolution of one second.
+pub(crate) const RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// The body of every response. Its tag is the outcome, which the status repeats.
 #[derive(Serialize)]
 #[serde(tag = "outcome", rename_all = "snake_case")]
@@ -133,9 +137,15 @@
 /// The response to a request that fails its checks.
 pub(crate) fn error(error: &Error) -> Response {
     let reason = error.to_string();
-    let body = Body::Invalid {
-        field: error.place(),
-        reason: &reason,
+    let body = match error {
+        Error::Broken { .. } => Body::Unavailable {
+            reason: &reason,
+            retry_after_s: seconds(RETRY_AFTER),
+        },
+        _ => Body::Invalid {
+            field: error.place(),
+            reason: &reason,
+        },
     };
     with_retry(error.status(), None, body)
 }
--- a/crates/cassiarock-caller/src/router/state.rs
+++ b/crates/cassiarock-caller/src/router/state.rs
@@ -7,14 +7,11 @@
 use http_body_util::LengthLimitError;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
+use std::io;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 
-/// Suggested retry delay when the queue of calls is full. The queue drains in
-/// milliseconds, but `Retry-After` has a resolution of one second.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
-
 /// The query string of requests that may wait for an answer.
 #[derive(Deserialize)]
 pub(super) struct Query {
@@ -100,23 +97,36 @@
     }
 
     fn read_error(&self, error: &axum::Error) -> Error {
-        let cause = std::error::Error::source(error);
-        if cause.is_some_and(|cause| cause.is::<LengthLimitError>()) {
+        let first: &dyn std::error::Error = error;
+        let causes = std::iter::successors(Some(first), |cause| cause.source());
+        if causes.clone().any(|cause| cause.is::<LengthLimitError>()) {
             return Error::Oversized {
                 limit: self.limit.body,
             };
         }
-        Error::Broken {
-            reason: error.to_string(),
+        let reason = causes.clone().last().unwrap_or(first).to_string();
+        let kinds = causes.filter_map(|cause| cause.downcast_ref::<io::Error>());
+        if kinds.map(io::Error::kind).any(is_malformed) {
+            return Error::Encoding { reason };
         }
+        log::info!("cannot read a request body: {reason}");
+        Error::Broken { reason }
     }
 }
 
+/// Whether an error of this kind is the caller's, and not the connection's.
+const fn is_malformed(kind: io::ErrorKind) -> bool {
+    matches!(
+        kind,
+        io::ErrorKind::InvalidInput | io::ErrorKind::InvalidData
+    )
+}
+
 fn unavailable() -> Answer {
     Answer::Unavailable {
         reason: "this entry takes no calls at the moment, not started by this submission"
             .to_owned(),
-        retry_after: RETRY_AFTER,
+        retry_after: reply::RETRY_AFTER,
     }
 }
 
--- a/crates/cassiarock-caller/tests/api/server.rs
+++ b/crates/cassiarock-caller/tests/api/server.rs
@@ -101,6 +101,16 @@
     assert_eq!(api.calls(), 0);
 }
 
+/// Guards against a malformed request that is told to come again.
+#[tokio::test]
+async fn a_body_with_a_malformed_encoding_is_invalid() {
+    let api = Api::answering(quick(), Answer::Running).await;
+    let request = b"POST /v1/jobs HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\nz\r\n";
+    let text = exchange(&api, request).await;
+    assert!(text.starts_with("HTTP/1.1 400 "), "{text}");
+    assert_eq!(api.calls(), 0);
+}
+
 #[tokio::test]
 async fn incomplete_headers_time_out() {
     let api = Api::answering(quick(), Answer::Running).await;
--- a/crates/cassiarock-caller/tests/api/shutdown.rs
+++ b/crates/cassiarock-caller/tests/api/shutdown.rs
@@ -194,3 +194,23 @@
     assert!(stop.elapsed() < Duration::from_millis(500));
     drop((unused, callers));
 }
+
+/// Guards against a sound request that is told it is invalid because the shutdown cut it off.
+#[tokio::test]
+async fn a_request_that_is_still_sent_at_shutdown_is_told_that_it_has_not_started() {
+    let mut api = Api::answering(Limit::default(), Answer::Running).await;
+    let mut caller = Caller::connect(api.address);
+    caller.send(&submission()[..120]);
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    api.stop();
+    let receive = move || {
+        let mut response = String::new();
+        caller.0.read_to_string(&mut response).map(|_| response)
+    };
+    let response = tokio::task::spawn_blocking(receive).await.unwrap().unwrap();
+    assert!(response.starts_with("HTTP/1.1 429 "), "{response}");
+    assert!(response.contains("retry-after: "), "{response}");
+    assert!(response.contains("\"unavailable\""), "{response}");
+    assert!(response.contains("not started"), "{response}");
+    assert_eq!(api.calls(), 0);
+}
--- a/tests/platform/leaving.rs
+++ b/tests/platform/leaving.rs
@@ -4,6 +4,7 @@
 use crate::site::{Site, body};
 use cassiarock_test_support::process::Child;
 use nix::sys::signal::Signal;
+use std::io::{Read, Write};
 use std::time::{Duration, Instant};
 
 /// The pause between the first signal that ends a process and the next one.
@@ -233,3 +234,27 @@
     let status = site.entries[0].process.ended(Duration::from_secs(2)).await;
     assert!(status.unwrap().is_some_and(|status| status.success()));
 }
+
+// An entry ended while a caller was still sending its job, and called the job too large.
+#[tokio::test]
+async fn a_job_that_is_still_being_sent_when_the_entry_ends_is_refused() {
+    let site = Site::start(1, 1).await;
+    let id = "00000000000000bc";
+    let url = reqwest::Url::parse(&site.entries[0].job(id)).unwrap();
+    let mut caller = std::net::TcpStream::connect(&*url.socket_addrs(|| None).unwrap()).unwrap();
+    let body = body(1, 50).to_string();
+    let (path, length) = (url.path(), body.len());
+    let head = format!("POST {path} HTTP/1.1\r\nhost: queue.example\r\n");
+    let request = format!("{head}content-length: {length}\r\n\r\n{}", &body[1..]);
+    caller.write_all(request.as_bytes()).unwrap();
+    tokio::time::sleep(BETWEEN_SIGNALS).await;
+    site.entries[0].process.terminate();
+    let receive = move || {
+        let mut response = String::new();
+        caller.read_to_string(&mut response).map(|_| response)
+    };
+    let response = tokio::task::spawn_blocking(receive).await.unwrap().unwrap();
+    assert!(response.starts_with("HTTP/1.1 503 "), "{response}");
+    assert!(response.contains("retry-after: "), "{response}");
+    assert!(!site.witness.has_begun(id));
+}
