Track the end of a body that the handler did not read

After a request whose body was not wanted (a 404, say), an idle connection held the shutdown for a second, and a next request that had begun before the shutdown got no answer. A caller that had not sent its whole body was not told that its connection closes.

Cause: `is_discarded` was set when the handler dropped the body, and stayed set when hyper drained a small body and kept the connection. Until the next request, reads did not count as begun requests, and the close waited for a rest that had long arrived.

Now a dropped body is first read to the end of what hyper holds. If that is the whole body, the connection is idle as after any other request; otherwise the response says `Connection: close`, so the mark can't outlast its request. The end of a body is recorded once, so that a drop after it can't touch the next request.

A body that arrives after its head, in several chunks or in more than one read still counts as unread: its connection closes, and waits for the caller as before.

--- a/crates/cassiarock-caller/src/server/connection.rs
+++ b/crates/cassiarock-caller/src/server/connection.rs
@@ -38,10 +38,11 @@
     let service = service_fn(|request: Request<Incoming>| {
         let request = request.map(|body| Tracked::new(body, input.clone()));
         let response = router.call(request);
-        let is_closing = is_closing.clone();
+        let (is_closing, input) = (is_closing.clone(), input.clone());
         async move {
             let mut response = response.await?;
-            if *is_closing.borrow() {
+            // After a body that is only read in part, no next request can be read.
+            if *is_closing.borrow() || input.is_discarded() {
                 let headers = response.headers_mut();
                 headers.insert(CONNECTION, HeaderValue::from_static("close"));
             }
--- a/crates/cassiarock-caller/src/server/input.rs
+++ b/crates/cassiarock-caller/src/server/input.rs
@@ -4,7 +4,7 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, Waker};
 
 /// What has been read of a connection's requests, shared by its socket and its handler.
 #[derive(Debug, Default)]
@@ -15,7 +15,8 @@
     is_used: AtomicBool,
     /// A request has been read in part.
     is_partial: AtomicBool,
-    /// The handler has dropped a body before its end; hyper discards the rest.
+    /// The handler has dropped a body before its end, and the connection is closed after the
+    /// response.
     is_discarded: AtomicBool,
     /// An incomplete request is no longer waited for.
     is_expired: AtomicBool,
@@ -36,6 +37,11 @@
         !self.is_partial.load(Ordering::Relaxed) && !self.is_discarded.load(Ordering::Relaxed)
     }
 
+    /// Whether the last body was dropped before its end.
+    pub(super) fn is_discarded(&self) -> bool {
+        self.is_discarded.load(Ordering::Relaxed)
+    }
+
     /// Records a read of the socket, which had nothing to read if `length` is `None`.
     pub(super) fn read(&self, length: Option<usize>) {
         self.is_drained.store(length.is_none(), Ordering::Relaxed);
@@ -83,9 +89,8 @@
     }
 
     fn discard(&self) {
-        if self.is_partial.swap(false, Ordering::Relaxed) {
-            self.is_discarded.store(true, Ordering::Relaxed);
-        }
+        self.is_partial.store(false, Ordering::Relaxed);
+        self.is_discarded.store(true, Ordering::Relaxed);
     }
 }
 
@@ -93,15 +98,33 @@
 pub(super) struct Tracked {
     body: Incoming,
     input: Arc<Input>,
+    is_ended: bool,
 }
 
 impl Tracked {
     pub(super) fn new(body: Incoming, input: Arc<Input>) -> Self {
         input.begin();
-        if body.is_end_stream() {
+        let is_ended = body.is_end_stream();
+        if is_ended {
             input.complete();
         }
-        Self { body, input }
+        Self {
+            body,
+            input,
+            is_ended,
+        }
+    }
+
+    /// Drops what hyper has already read of the body.
+    fn discard(&mut self) {
+        let mut context = Context::from_waker(Waker::noop());
+        while !self.is_ended {
+            match Pin::new(&mut *self).poll_frame(&mut context) {
+                Poll::Ready(Some(Ok(_))) => {}
+                Poll::Ready(None) => return,
+                Poll::Ready(Some(Err(_))) | Poll::Pending => return self.input.discard(),
+            }
+        }
     }
 }
 
@@ -114,7 +137,9 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
         let polled = Pin::new(&mut self.body).poll_frame(context);
-        if matches!(polled, Poll::Ready(None)) || self.body.is_end_stream() {
+        let is_ended = matches!(polled, Poll::Ready(None)) || self.body.is_end_stream();
+        if is_ended && !self.is_ended {
+            self.is_ended = true;
             self.input.complete();
         }
         polled
@@ -131,8 +156,6 @@
 
 impl Drop for Tracked {
     fn drop(&mut self) {
-        if !self.body.is_end_stream() {
-            self.input.discard();
-        }
+        self.discard();
     }
 }
--- a/crates/cassiarock-caller/tests/api/shutdown.rs
+++ b/crates/cassiarock-caller/tests/api/shutdown.rs
@@ -214,3 +214,52 @@
     assert!(response.contains("not started"), "{response}");
     assert_eq!(api.calls(), 0);
 }
+
+const UNKNOWN: &str = "POST /unknown HTTP/1.1\r\nhost: x\r\ncontent-length: 5\r\n\r\nhello";
+
+/// Guards against a request that has begun and is not answered because the body before it was
+/// not wanted.
+#[tokio::test]
+async fn a_request_that_has_begun_after_an_unwanted_body_is_answered() {
+    let mut api = Api::answering(Limit::default(), Answer::Running).await;
+    let mut caller = Caller::connect(api.address);
+    caller.send(UNKNOWN);
+    let (mut callers, _) = receive(vec![caller]).await;
+    let request = submission();
+    let (begin, rest) = request.split_at(10);
+    callers[0].send(begin);
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    api.stop();
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    callers[0].send(rest);
+    let (_callers, heads) = receive(callers).await;
+    assert!(heads[0].starts_with("HTTP/1.1 202 "), "{heads:?}");
+    stopped(&mut api, TIMEOUT).await;
+}
+
+/// Guards against an idle connection that holds the shutdown because its last body was not
+/// wanted.
+#[tokio::test]
+async fn an_idle_connection_after_an_unwanted_body_does_not_hold_the_shutdown() {
+    let mut api = Api::answering(Limit::default(), Answer::Running).await;
+    let mut caller = Caller::connect(api.address);
+    caller.send(UNKNOWN);
+    let (callers, _) = receive(vec![caller]).await;
+    let stop = Instant::now();
+    api.stop();
+    stopped(&mut api, TIMEOUT).await;
+    assert!(stop.elapsed() < Duration::from_millis(500));
+    drop(callers);
+}
+
+/// Guards against a caller that is not told that its connection closes before it has sent its
+/// whole request.
+#[tokio::test]
+async fn a_response_before_the_end_of_its_request_announces_the_close() {
+    let api = Api::answering(Limit::default(), Answer::Running).await;
+    let mut caller = Caller::connect(api.address);
+    caller.send(&UNKNOWN[..UNKNOWN.len() - 1]);
+    let (_callers, heads) = receive(vec![caller]).await;
+    assert!(heads[0].starts_with("HTTP/1.1 404 "), "{heads:?}");
+    assert!(heads[0].contains("connection: close"), "{heads:?}");
+}
