Retry an interrupted read of a socket about to be closed

`poll_kernel` passed `ErrorKind::Interrupted` on as an error of the connection, which would end it without an answer. It is retried, as other reads are. No regression test: an interrupted read of a socket that does not wait can't be brought about from a test.

--- a/crates/cassiarock-caller/src/server/stream.rs
+++ b/crates/cassiarock-caller/src/server/stream.rs
@@ -60,7 +60,12 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let budget = ready!(tokio::task::coop::poll_proceed(context));
-        match (&*SockRef::from(&self.socket)).read(buffer.initialize_unfilled()) {
+        let socket = SockRef::from(&self.socket);
+        let mut read = (&*socket).read(buffer.initialize_unfilled());
+        while matches!(&read, Err(error) if error.kind() == io::ErrorKind::Interrupted) {
+            read = (&*socket).read(buffer.initialize_unfilled());
+        }
+        match read {
             Ok(length) => {
                 budget.made_progress();
                 buffer.advance(length);
