Accept the rest of the queue after a failed accept at shutdown

`accept_queued` gave up the rest of the kernel's queue after the first error that was not an aborted connection; the connections in it were reset with their requests. Now an error is logged and the next connection is accepted, up to 16 errors, so that one that lasts, such as a lack of file descriptors, does not hold the shutdown. A connection that can't be set up loses only itself. No regression test: such an error can't be brought about without changing the limits of the test's process.

--- a/crates/cassiarock-caller/src/server/mod.rs
+++ b/crates/cassiarock-caller/src/server/mod.rs
@@ -24,6 +24,9 @@
 /// How many connections are accepted at the shutdown: what the kernel's queue can hold. It
 /// ends the loop if callers connect as fast as they are accepted.
 const MAX_QUEUED: usize = 4_096;
+/// How many of these accepts may fail before the rest of the queue is given up. An error may
+/// be that of one connection, or last.
+const MAX_QUEUED_ERRORS: usize = 16;
 /// How many connections over the limit are answered at a time; the rest are closed.
 const MAX_REJECTING: usize = 64;
 /// Time limit for answering a connection over the limit.
@@ -96,14 +99,16 @@
     /// The runtime may not have been told of them yet, so the kernel is asked directly.
     fn accept_queued(&self, listener: TcpListener) -> io::Result<()> {
         let listener = listener.into_std()?;
+        let mut errors = 0;
         for _ in 0..MAX_QUEUED {
-            match listener.accept() {
-                Ok((stream, _)) => {
-                    stream.set_nonblocking(true)?;
-                    self.admit(TcpStream::from_std(stream)?);
-                }
+            match accept_from(&listener) {
+                Ok(stream) => self.admit(stream),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
                 Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
+                Err(error) if errors < MAX_QUEUED_ERRORS => {
+                    errors += 1;
+                    log::warn!("accepting one of the last connections of callers: {error}");
+                }
                 Err(error) => return Err(error),
             }
         }
@@ -145,6 +150,13 @@
     }
 }
 
+/// Accepts a connection without waiting, if the listener does not wait.
+fn accept_from(listener: &std::net::TcpListener) -> io::Result<TcpStream> {
+    let (stream, _) = listener.accept()?;
+    stream.set_nonblocking(true)?;
+    TcpStream::from_std(stream)
+}
+
 /// Builds the HTTP/1 settings. The timer closes connections that send their headers
 /// slowly, which would hold a connection as slow bodies do, and idle ones.
 fn http(limit: &Limit) -> http1::Builder {
