Bound the wait for a job to begin in the tests of leaving processes

Its entry's metrics, kept: one job refused, 13 decisions 'thawed' (the process got no time for 300 ms or more) and 17 'upstream' (links lost and opened again). So the job was refused while the entry had no link, and the test waited without end for tasks that never started.

--- a/tests/platform/leaving.rs
+++ b/tests/platform/leaving.rs
@@ -4,8 +4,10 @@
 use crate::site::{Site, body};
 use cassiarock_test_support::process::Child;
 use nix::sys::signal::Signal;
+use serde_json::Value;
 use std::io::{Read, Write};
 use std::time::{Duration, Instant};
+use tokio::task::JoinHandle;
 use yare::parameterized;
 
 /// The pause between the first signal that ends a process and the next one.
@@ -23,10 +25,30 @@
 /// The part of the grace period that is left when an entry gives its last jobs up.
 const ANSWER_TIME: Duration = Duration::from_millis(600);
 
-/// Waits until so many tasks have begun.
-async fn begun(site: &Site, tasks: usize) {
-    while site.witness.runs().len() < tasks {
-        tokio::time::sleep(Duration::from_millis(5)).await;
+/// Hands a job in at the first entry and waits until all of its tasks run. On a busy machine links
+/// are lost for a moment, and the job is refused and handed in again.
+async fn begin(site: &Site, id: &'static str, job: Value, patience: Duration) -> JoinHandle<Reply> {
+    let tasks = usize::try_from(job["phases"][0]["count"].as_u64().unwrap()).unwrap();
+    let begun = || {
+        site.witness
+            .runs()
+            .iter()
+            .filter(|run| run.job == id)
+            .count()
+    };
+    let until = Instant::now() + START;
+    loop {
+        let reply = hand_in(&site.entries[0], id, job.clone(), patience);
+        while !reply.is_finished() {
+            if begun() >= tasks {
+                return reply;
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        let reply = reply.await.unwrap();
+        let output = site.entries[0].process.output();
+        let is_refused = matches!(reply, Reply::Refused { .. });
+        assert!(is_refused && Instant::now() < until, "{reply:?}: {output}");
     }
 }
 
@@ -150,10 +172,7 @@
 async fn a_job_that_outlasts_the_grace_period_is_answered_before_the_entry_ends() {
     let mut site = Site::start(1, 1).await;
     let id = "00000000000000b7";
-    let job = hand_in(&site.entries[0], id, body(2, 9_000), PATIENCE * 4);
-    while !site.witness.has_begun(id) {
-        tokio::time::sleep(Duration::from_millis(5)).await;
-    }
+    let job = begin(&site, id, body(2, 9_000), PATIENCE * 4).await;
     let terminated_at = Instant::now();
     site.entries[0].process.terminate();
     assert_eq!(job.await.unwrap(), Reply::Status(504));
@@ -168,10 +187,7 @@
 async fn a_waiting_job_that_cannot_end_within_the_grace_period_is_refused() {
     let site = Site::start(1, 1).await;
     let first = "00000000000000b8";
-    let running = hand_in(&site.entries[0], first, body(16, 9_000), PATIENCE * 4);
-    while site.witness.runs().is_empty() {
-        tokio::time::sleep(Duration::from_millis(5)).await;
-    }
+    let running = begin(&site, first, body(16, 9_000), PATIENCE * 4).await;
     let second = "00000000000000b9";
     let waiting = hand_in(&site.entries[0], second, body(1, 2_000), PATIENCE * 4);
     tokio::time::sleep(Duration::from_millis(100)).await;
@@ -188,8 +204,7 @@
 async fn an_entry_that_is_told_to_end_twice_answers_what_it_has_taken() {
     let mut site = Site::start(1, 1).await;
     let id = "00000000000000b4";
-    let job = hand_in(&site.entries[0], id, body(4, 1_500), PATIENCE);
-    begun(&site, 4).await;
+    let job = begin(&site, id, body(4, 1_500), PATIENCE).await;
     terminate_twice(&site.entries[0].process).await;
     assert_eq!(job.await.unwrap(), completed());
     let status = site.entries[0].process.ended(Duration::from_secs(7)).await;
@@ -203,8 +218,7 @@
 async fn an_agent_that_is_told_to_end_twice_finishes_its_tasks() {
     let mut site = Site::start(1, 1).await;
     let id = "00000000000000b5";
-    let job = hand_in(&site.entries[0], id, body(8, 1_500), PATIENCE);
-    begun(&site, 8).await;
+    let job = begin(&site, id, body(8, 1_500), PATIENCE).await;
     terminate_twice(&site.agents[0].process).await;
     assert_eq!(job.await.unwrap(), completed());
     assert_eq!(site.witness.runs().len(), 8, "none was broken off");
@@ -217,8 +231,7 @@
 async fn an_entry_that_an_operator_ends_at_once_answers_its_callers_first() {
     let mut site = Site::start(1, 1).await;
     let id = "00000000000000b6";
-    let job = hand_in(&site.entries[0], id, body(4, 4_000), PATIENCE * 2);
-    begun(&site, 4).await;
+    let job = begin(&site, id, body(4, 4_000), PATIENCE * 2).await;
     site.entries[0].process.terminate();
     tokio::time::sleep(BETWEEN_SIGNALS).await;
     site.entries[0].process.interrupt();
@@ -232,8 +245,7 @@
 async fn an_entry_that_finishes_its_jobs_takes_new_connections_until_it_ends() {
     let mut site = Site::start(1, 1).await;
     let id = "00000000000000ba";
-    let job = hand_in(&site.entries[0], id, body(1, 4_500), PATIENCE * 2);
-    begun(&site, 1).await;
+    let job = begin(&site, id, body(1, 4_500), PATIENCE * 2).await;
     site.entries[0].process.terminate();
     tokio::time::sleep(Duration::from_secs(3)).await;
     let next = "00000000000000bb";
