--- a/crates/cassiarock-transient/tests/scheduler/answers.rs
+++ b/crates/cassiarock-transient/tests/scheduler/answers.rs
@@ -211,3 +211,14 @@
     harness.submit_job(1, job, 9_000);
     assert_ne!(harness.answer(1), Some(Answer::Failed));
 }
+
+// An entry that started while the only upstream large enough was away answered the job as failed.
+#[test]
+fn a_job_that_fits_only_an_upstream_that_was_away_at_the_start_is_not_failed() {
+    let mut harness = Harness::new(3);
+    harness.advance(1_500);
+    let mut job = crate::harness::job(1, 1, 200);
+    job.stages[0].demand.cpu = 2 * crate::harness::CAPACITY.cpu;
+    harness.submit_job(1, job, 9_000);
+    assert_ne!(harness.answer(1), Some(Answer::Failed));
+}
--- a/crates/cassiarock-transient/tests/scheduler/crashes.rs
+++ b/crates/cassiarock-transient/tests/scheduler/crashes.rs
@@ -456,3 +456,39 @@
     }
     assert_eq!(harness.answer(1), None);
 }
+
+// An upstream crashed while its agent's link was replaced, and the agent announced the next one before the loss.
+#[test]
+fn a_crash_that_is_reported_over_a_new_link_is_confirmed() {
+    let mut harness = Harness::new(6);
+    harness.submit(1, 1, 2_000, 20_000);
+    for round in 0..2 {
+        let lost = agent_of(&harness, 1).unwrap();
+        harness.scheduler.unlink(&lost);
+        harness.scheduler.link(&lost, &"dc".into(), harness.now);
+        harness.announce(&lost, &format!("u-new-{round}"), false);
+        let held = harness.placed.iter().map(|t| t.attempt).collect();
+        harness.deliver(&lost, Message::Held(held));
+        let at = harness.placed.remove(0);
+        let result = AttemptResult {
+            attempt: at.attempt,
+            outcome: Outcome::Crashed,
+            ran: ms(10),
+        };
+        harness.deliver(
+            &lost,
+            Message::Ended {
+                clock: u64::try_from(harness.now.as_millis()).unwrap(),
+                results: vec![result],
+                load: Load {
+                    free: CAPACITY,
+                    slowdown_percent: 100,
+                    ..Load::default()
+                },
+            },
+        );
+        harness.heartbeat_of(&lost, CAPACITY);
+        harness.advance(600);
+    }
+    assert_eq!(harness.answer(1), Some(Answer::Failed));
+}
