--- a/crates/cassiarock-caller/src/server/connection.rs
+++ b/crates/cassiarock-caller/src/server/connection.rs
@@ -1,6 +1,6 @@
 //! One connection, from its first request to its close.
 
-use super::input::{Input, Tracked};
+use super::read_state::{ReadState, Tracked};
 use super::stream::Stream;
 use axum::Router;
 use axum::http::HeaderValue;
@@ -32,24 +32,24 @@
     socket: TcpStream,
     mut closing: watch::Receiver<bool>,
 ) -> hyper::Result<()> {
-    let input = Arc::<Input>::default();
+    let state = Arc::<ReadState>::default();
     let router = TowerToHyperService::new(router);
     let is_closing = closing.clone();
     let service = service_fn(|request: Request<Incoming>| {
-        let request = request.map(|body| Tracked::new(body, input.clone()));
+        let request = request.map(|body| Tracked::new(body, state.clone()));
         let response = router.call(request);
-        let (is_closing, input) = (is_closing.clone(), input.clone());
+        let (is_closing, state) = (is_closing.clone(), state.clone());
         async move {
             let mut response = response.await?;
             // After a body that is only read in part, no next request can be read.
-            if *is_closing.borrow() || input.is_discarded() {
+            if *is_closing.borrow() || state.is_discarded() {
                 let headers = response.headers_mut();
                 headers.insert(CONNECTION, HeaderValue::from_static("close"));
             }
             Ok::<_, std::convert::Infallible>(response)
         }
     });
-    let stream = Stream::new(socket, input.clone());
+    let stream = Stream::new(socket, state.clone());
     let mut connection = pin!(http.serve_connection(TokioIo::new(stream), service));
     tokio::select! {
         biased;
@@ -57,10 +57,10 @@
         // An error means that the server has been dropped.
         _ = closing.wait_for(|is_closing| *is_closing) => {}
     }
-    input.close();
+    state.close();
     let mut drain = pin!(poll_fn(|context| {
         let ended = connection.as_mut().poll(context);
-        if ended.is_pending() && input.is_idle() {
+        if ended.is_pending() && state.is_idle() {
             connection.as_mut().graceful_shutdown();
             return connection.as_mut().poll(context);
         }
@@ -69,12 +69,12 @@
     tokio::select! {
         biased;
         ended = drain.as_mut() => return ended,
-        () = tokio::time::sleep(FIRST_TIMEOUT) => input.expect_none(),
+        () = tokio::time::sleep(FIRST_TIMEOUT) => state.expect_none(),
     }
     tokio::select! {
         biased;
         ended = drain.as_mut() => return ended,
-        () = tokio::time::sleep(REST_TIMEOUT) => input.expire(),
+        () = tokio::time::sleep(REST_TIMEOUT) => state.expire(),
     }
     drain.await
 }
--- a/crates/cassiarock-caller/src/server/mod.rs
+++ b/crates/cassiarock-caller/src/server/mod.rs
@@ -1,7 +1,7 @@
 //! The HTTP server: connections and their limits.
 
 mod connection;
-mod input;
+mod read_state;
 mod stream;
 
 use crate::Limit;
--- a/crates/cassiarock-caller/src/server/input.rs
+++ b/crates/cassiarock-caller/src/server/read_state.rs
@@ -8,7 +8,7 @@
 
 /// What has been read of a connection's requests, shared by its socket and its handler.
 #[derive(Debug, Default)]
-pub(super) struct Input {
+pub(super) struct ReadState {
     /// The last read found the socket empty.
     is_drained: AtomicBool,
     /// A first request has begun, or is no longer expected.
@@ -24,7 +24,7 @@
     is_closing: AtomicBool,
 }
 
-impl Input {
+impl ReadState {
     /// Whether nothing more is to be read, now or soon.
     pub(super) fn is_idle(&self) -> bool {
         self.is_drained.load(Ordering::Relaxed)
@@ -97,12 +97,12 @@
 /// A request body that records when it has been read.
 pub(super) struct Tracked {
     body: Incoming,
-    input: Arc<Input>,
+    input: Arc<ReadState>,
     is_ended: bool,
 }
 
 impl Tracked {
-    pub(super) fn new(body: Incoming, input: Arc<Input>) -> Self {
+    pub(super) fn new(body: Incoming, input: Arc<ReadState>) -> Self {
         input.begin();
         let is_ended = body.is_end_stream();
         if is_ended {
--- a/crates/cassiarock-caller/src/server/stream.rs
+++ b/crates/cassiarock-caller/src/server/stream.rs
@@ -1,6 +1,6 @@
 //! The socket of a connection.
 
-use super::input::Input;
+use super::read_state::ReadState;
 use socket2::SockRef;
 use std::io::{self, Read};
 use std::pin::Pin;
@@ -22,12 +22,12 @@
 /// So the shutdown of an unfinished request reads on until the caller closes.
 pub(super) struct Stream {
     socket: TcpStream,
-    input: Arc<Input>,
+    input: Arc<ReadState>,
     linger: Option<Pin<Box<Sleep>>>,
 }
 
 impl Stream {
-    pub(super) const fn new(socket: TcpStream, input: Arc<Input>) -> Self {
+    pub(super) const fn new(socket: TcpStream, input: Arc<ReadState>) -> Self {
         Self {
             socket,
             input,
--- a/crates/cassiarock-transient/src/scheduler/active_job.rs
+++ b/crates/cassiarock-transient/src/scheduler/active_job.rs
@@ -1,6 +1,6 @@
 //! The state of a job between its admission and its answer.
 
-use super::crash::{self, Crash};
+use super::crash::{self, Loss};
 use super::rank::Rank;
 use crate::message::Attempt;
 use crate::{Job, JobClass};
@@ -48,7 +48,7 @@
     /// resort.
     pub(super) avoided: Vec<Process>,
     /// The losses of upstreams that it may have caused.
-    pub(super) crashes: Vec<Crash>,
+    pub(super) crashes: Vec<Loss>,
     /// How often an agent has refused it since the last crash.
     pub(super) refusals: u32,
     /// How often it was moved away from an upstream where it ran too long.
@@ -76,7 +76,7 @@
     }
 
     /// The losses of upstreams that were crashes.
-    pub(super) fn confirmed_crashes(&self) -> impl Iterator<Item = &Crash> {
+    pub(super) fn confirmed_crashes(&self) -> impl Iterator<Item = &Loss> {
         self.crashes.iter().filter(|crash| crash.is_confirmed)
     }
 
@@ -86,7 +86,7 @@
     }
 
     /// Changes the crashes under it. If it no longer awaits a verdict, its next attempt need not wait.
-    pub(super) fn settle(&mut self, change: impl FnOnce(&mut Vec<Crash>)) {
+    pub(super) fn settle(&mut self, change: impl FnOnce(&mut Vec<Loss>)) {
         let awaited_verdict = self.awaits_verdict();
         change(&mut self.crashes);
         if let Phase::Waiting(from) = &mut self.phase
--- a/crates/cassiarock-transient/src/scheduler/crash.rs
+++ b/crates/cassiarock-transient/src/scheduler/crash.rs
@@ -44,13 +44,13 @@
 /// The most jobs that are remembered.
 const MAX_JOBS: usize = 1_024;
 
-/// A crash under a task.
+/// The loss of an upstream that ran a task, which may have crashed it.
 #[derive(Clone, Debug)]
-pub(super) struct Crash {
+pub(super) struct Loss {
     /// The agent whose upstream was lost.
     pub(super) agent: Process,
     pub(super) at: Duration,
-    /// Whether another incarnation of the upstream has started.
+    /// Whether it was a crash: another incarnation of the upstream has started.
     pub(super) is_confirmed: bool,
 }
 
@@ -65,7 +65,7 @@
 
 impl Verdict {
     /// Applies the verdict on the upstream of `agent` to the crashes under a task.
-    pub(super) fn apply(self, crashes: &mut Vec<Crash>, agent: &Process) {
+    pub(super) fn apply(self, crashes: &mut Vec<Loss>, agent: &Process) {
         match self {
             Self::Crashed => {
                 let last = crashes.iter_mut().rfind(|crash| crash.agent == *agent);
@@ -91,7 +91,7 @@
 #[derive(Debug)]
 struct JobCrashes {
     last_crash: Duration,
-    tasks: HashMap<(usize, usize), Vec<Crash>>,
+    tasks: HashMap<(usize, usize), Vec<Loss>>,
 }
 
 impl Crashes {
@@ -119,7 +119,7 @@
 
     /// Clears the crashes of upstreams that turned out to be lost by a common cause.
     pub(super) fn clear_common<'a>(&mut self, active: impl Iterator<Item = &'a mut ActiveJob>) {
-        let is_sole = |crash: &Crash| self.losses.iter().all(|(_, lost)| *lost != crash.agent);
+        let is_sole = |crash: &Loss| self.losses.iter().all(|(_, lost)| *lost != crash.agent);
         for task in active.flat_map(|job| job.tasks.iter_mut().flatten()) {
             task.settle(|crashes| crashes.retain(is_sole));
         }
@@ -160,6 +160,11 @@
         Some(verdict)
     }
 
+    /// Stops waiting for news of the upstream of an agent that is lost itself.
+    pub(super) fn forget_agent(&mut self, agent: &Process) {
+        self.unsettled.remove(agent);
+    }
+
     /// Forgets the crashes under a task that has been done since.
     pub(super) fn forget(&mut self, job: &Name, stage: usize, index: usize) {
         if let Some(record) = self.jobs.get_mut(job) {
@@ -192,7 +197,7 @@
             return;
         }
         let agent = agent.clone();
-        task.crashes.push(Crash {
+        task.crashes.push(Loss {
             agent,
             at: now,
             is_confirmed: false,
--- a/crates/cassiarock-transient/src/scheduler/lost.rs
+++ b/crates/cassiarock-transient/src/scheduler/lost.rs
@@ -52,6 +52,7 @@
             agent.placed = 0;
             if !agent.is_linked {
                 self.agents.remove(&process);
+                self.crashes.forget_agent(&process);
             }
         }
     }
--- a/crates/cassiarock-transient/src/scheduler/shutdown.rs
+++ b/crates/cassiarock-transient/src/scheduler/shutdown.rs
@@ -4,7 +4,7 @@
 use super::{Action, Answer, Scheduler};
 use std::time::Duration;
 
-/// The least pause for a caller whom another entry can serve at once.
+/// The minimum `Retry-After`, in which another entry can usually take the job.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// The reason in the log for refusing or giving up a job.
