--- a/crates/cassiarock-transient/tests/scheduler/crashes.rs
+++ b/crates/cassiarock-transient/tests/scheduler/crashes.rs
@@ -43,6 +43,18 @@
     harness.deliver(agent, message);
 }
 
+/// Lets two upstreams fall silent one after the other, each while it runs a task of job 1.
+fn lose_two(harness: &mut Harness) -> Vec<Process> {
+    let mut silent = Vec::new();
+    for _ in 0..2 {
+        let lost = agent_of(harness, 1).unwrap();
+        lose(harness, &lost);
+        silent.push(lost);
+        advance_without(harness, &silent, 600);
+    }
+    silent
+}
+
 /// Starts another incarnation of the upstream of an agent.
 fn restart(harness: &mut Harness, agent: &Process) {
     let id = format!("u-{}-since-{}", agent.name, harness.now.as_millis());
@@ -249,13 +261,7 @@
 fn a_job_that_is_submitted_again_waits_for_the_verdict_on_its_crashes() {
     let mut harness = Harness::new(6);
     harness.submit(1, 1, 200, 1_900);
-    let mut silent = Vec::new();
-    for _ in 0..2 {
-        let lost = agent_of(&harness, 1).unwrap();
-        lose(&mut harness, &lost);
-        silent.push(lost);
-        advance_without(&mut harness, &silent, 600);
-    }
+    let silent = lose_two(&mut harness);
     advance_without(&mut harness, &silent, 800);
     assert_eq!(harness.answer(1), Some(Answer::GivenUp));
     let job = crate::harness::job(1, 1, 200);
@@ -272,13 +278,7 @@
 fn a_job_whose_upstreams_stay_away_is_placed_again_after_a_while() {
     let mut harness = Harness::new(6);
     harness.submit(1, 1, 2_000, 20_000);
-    let mut silent = Vec::new();
-    for _ in 0..2 {
-        let lost = agent_of(&harness, 1).unwrap();
-        lose(&mut harness, &lost);
-        silent.push(lost);
-        advance_without(&mut harness, &silent, 600);
-    }
+    let silent = lose_two(&mut harness);
     assert_eq!(agent_of(&harness, 1), None);
     advance_without(&mut harness, &silent, 3_000);
     assert_eq!(harness.answer(1), None);
@@ -290,13 +290,7 @@
 fn a_task_is_given_up_once_the_restarts_of_two_upstreams_confirm_their_crashes() {
     let mut harness = Harness::new(6);
     harness.submit(1, 1, 2_000, 20_000);
-    let mut silent = Vec::new();
-    for _ in 0..2 {
-        let lost = agent_of(&harness, 1).unwrap();
-        lose(&mut harness, &lost);
-        silent.push(lost);
-        advance_without(&mut harness, &silent, 600);
-    }
+    let silent = lose_two(&mut harness);
     advance_without(&mut harness, &silent, 400);
     assert_eq!(agent_of(&harness, 1), None);
     restart(&mut harness, &silent[0]);
@@ -441,13 +435,7 @@
     second.dependencies = vec![0];
     job.stages.push(second);
     harness.submit_job(1, job, 60_000);
-    let mut silent = Vec::new();
-    for _ in 0..2 {
-        let lost = agent_of(&harness, 1).unwrap();
-        lose(&mut harness, &lost);
-        silent.push(lost);
-        advance_without(&mut harness, &silent, 600);
-    }
+    let silent = lose_two(&mut harness);
     advance_without(&mut harness, &silent, 3_000);
     let task = harness.placed[0].attempt;
     harness.end(task, Outcome::Done);
