--- a/tests/platform/leaving.rs
+++ b/tests/platform/leaving.rs
@@ -5,6 +5,7 @@
 use cassiarock_test_support::process::Child;
 use nix::sys::signal::Signal;
 use std::time::{Duration, Instant};
+use yare::parameterized;
 
 /// The pause between the first signal that ends a process and the next one.
 const BETWEEN_SIGNALS: Duration = Duration::from_millis(300);
@@ -15,6 +16,12 @@
 /// How often the start of a process is watched.
 const STARTS: usize = 10;
 
+/// The grace period of all processes.
+const GRACE: Duration = Duration::from_secs(6);
+
+/// The part of the grace period that is left when an entry gives its last jobs up.
+const ANSWER_TIME: Duration = Duration::from_millis(600);
+
 /// Waits until so many tasks have begun.
 async fn begun(site: &Site, tasks: usize) {
     while site.witness.runs().len() < tasks {
@@ -79,8 +86,9 @@
     let entry = &mut site.entries[0];
     entry.process.kill();
     entry.restart();
+    let until = Instant::now() + START;
     while !entry.process.handles(Signal::SIGTERM).unwrap() {
-        std::hint::spin_loop();
+        assert!(Instant::now() < until, "it handles no signals");
     }
     entry.change_settings("graceS = 6", "graceS = 5");
     entry.process.hang_up();
@@ -145,8 +153,11 @@
     while !site.witness.has_begun(id) {
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
+    let terminated_at = Instant::now();
     site.entries[0].process.terminate();
     assert_eq!(job.await.unwrap(), Reply::Status(504));
+    let elapsed = terminated_at.elapsed();
+    assert!(elapsed < GRACE - ANSWER_TIME, "{elapsed:?}");
     let status = site.entries[0].process.ended(Duration::from_secs(2)).await;
     assert!(status.unwrap().is_some_and(|status| status.success()));
 }
@@ -163,6 +174,7 @@
     let second = "00000000000000b9";
     let waiting = hand_in(&site.entries[0], second, body(1, 2_000), PATIENCE * 4);
     tokio::time::sleep(Duration::from_millis(100)).await;
+    assert!(!waiting.is_finished(), "it was answered before the signal");
     site.entries[0].process.terminate();
     let has_retry_after = true;
     assert_eq!(waiting.await.unwrap(), Reply::Refused { has_retry_after });
@@ -170,8 +182,7 @@
     assert!(!site.witness.has_begun(second));
 }
 
-// Planned work overlaps: an entry that already leaves was told to end again, and ended at once
-// without an answer to its callers.
+// A second SIGTERM ended a leaving entry at once, and its callers got no answer.
 #[tokio::test]
 async fn an_entry_that_is_told_to_end_twice_answers_what_it_has_taken() {
     let mut site = Site::start(1, 1).await;
@@ -186,7 +197,7 @@
     assert!(output.contains("SIGTERM: already leaving"), "{output}");
 }
 
-// The same at an agent, which left its running tasks behind.
+// A second SIGTERM ended a leaving agent at once, and its tasks were broken off.
 #[tokio::test]
 async fn an_agent_that_is_told_to_end_twice_finishes_its_tasks() {
     let mut site = Site::start(1, 1).await;
@@ -200,8 +211,7 @@
     assert!(status.unwrap().is_some_and(|status| status.success()));
 }
 
-// An operator ended a leaving entry at once, and its callers' connections were closed without an
-// answer.
+// SIGINT ended a leaving entry at once, and its callers got no answer.
 #[tokio::test]
 async fn an_entry_that_an_operator_ends_at_once_answers_its_callers_first() {
     let mut site = Site::start(1, 1).await;
@@ -216,8 +226,7 @@
     assert!(status.unwrap().is_some_and(|status| status.success()));
 }
 
-// The load balancer had too few other entries and sent callers to one that was leaving, which
-// refused their connections while it finished its jobs.
+// A leaving entry refused connections while it finished its jobs, also if it was the only one.
 #[tokio::test]
 async fn an_entry_that_finishes_its_jobs_takes_new_connections_until_it_ends() {
     let mut site = Site::start(1, 1).await;
@@ -233,3 +242,49 @@
     let status = site.entries[0].process.ended(Duration::from_secs(2)).await;
     assert!(status.unwrap().is_some_and(|status| status.success()));
 }
+
+/// The statuses that a caller gets who submits brief jobs, until connections are refused.
+async fn submit_until_refused(url: String, caller: usize) -> Vec<u16> {
+    let client = reqwest::Client::builder()
+        .no_proxy()
+        .pool_max_idle_per_host(0);
+    let client = client.build().unwrap();
+    let mut statuses = Vec::new();
+    loop {
+        let id = format!("{caller:08x}{:08x}", statuses.len());
+        let call = client
+            .post(format!("{url}{id}"))
+            .header("host", "queue.example")
+            .header("request-id", format!("request-{id}"))
+            .header("deadline-ms", PATIENCE.as_millis().to_string())
+            .json(&body(1, 20));
+        match call.send().await {
+            Ok(answer) => statuses.push(answer.status().as_u16()),
+            Err(error) if error.is_connect() => return statuses,
+            Err(error) => panic!("caller {caller}: {error:?} after {statuses:?}"),
+        }
+    }
+}
+
+// The grace period ended before connections were closed, and those that were open got no answer.
+#[parameterized(two_seconds = { "2" }, half_a_second = { "0.5" })]
+#[test_macro(tokio::test)]
+async fn an_entry_with_a_short_grace_period_answers_all_that_it_takes(grace: &str) {
+    let mut site = Site::start(1, 1).await;
+    let entry = &mut site.entries[0];
+    entry.change_settings("graceS = 6", &format!("graceS = {grace}"));
+    entry.process.kill();
+    entry.restart();
+    entry.linked(1, START).await;
+    let url = entry.job("");
+    let callers = (0..16).map(|caller| tokio::spawn(submit_until_refused(url.clone(), caller)));
+    let callers: Vec<_> = callers.collect();
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    entry.process.terminate();
+    for caller in callers {
+        let statuses = caller.await.unwrap();
+        assert!(statuses.contains(&200), "{statuses:?}");
+    }
+    let status = entry.process.ended(Duration::from_secs(2)).await;
+    assert!(status.unwrap().is_some_and(|status| status.success()));
+}
