Show that entries whose reads of the store go silent have a configuration 20 s late

All open connections of the entries to the store go silent while new ones work; two seconds before the bound holds again a configuration is published.

Seen on this code: alone, an entry has it 20.08 s after the bound; three linked entries have it 20.12, 20.24 and 20.24 s after it, all at once, because none has a copy to give. Nothing is logged until the read is given up.

The entries of the tests reach the store through a proxy now, so that a test can silence the connections that are open. The proxy's system acknowledges what it keeps back, so keep-alive finds nothing.

--- a/tests/platform/configuration.rs
+++ b/tests/platform/configuration.rs
@@ -9,7 +9,7 @@
 /// A plain copy of the configuration with 1,700 queues.
 const PLAIN: u64 = 250_000;
 
-async fn has_version(entry: &Entry, version: u64, limit: Duration) {
+pub async fn has_version(entry: &Entry, version: u64, limit: Duration) {
     let until = Instant::now() + limit;
     while entry.metric("cassiarock_configuration_version").await != Some(version) {
         assert!(Instant::now() < until, "{}", entry.process.output());
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -13,3 +13,4 @@
 mod links;
 mod site;
 mod soak;
+mod store_path;
--- a/tests/platform/site.rs
+++ b/tests/platform/site.rs
@@ -73,6 +73,8 @@
     pub process: Child,
     pub proxy: Proxy,
     pub door: Door,
+    /// Between the entry and its door to the store.
+    pub store_path: Proxy,
     ip: Ipv4Addr,
     name: String,
     file: File,
@@ -237,6 +239,7 @@
         let listen = SocketAddr::from((ip, ports.links()));
         let behind = SocketAddr::from((ip, ports.behind()));
         let proxy = Proxy::at(listen).unwrap().with_target(behind);
+        let store_path = Proxy::new().unwrap().with_target(door.address());
         let seeds = quoted(seeds);
         let settings = format!(
             "nodeName = \"{name}\"\nzone = \"dc-1\"\nip = \"{ip}\"\ninternalPorts = [{}, {}]\n\
@@ -246,7 +249,7 @@
             ports.behind() + 9,
             ports.callers(),
             ports.readiness(),
-            door.address(),
+            store_path.address(),
         );
         let file = write(&name, ports, &settings);
         let process = Child::on_platform(DAEMON, "entry", &name, &file).unwrap();
@@ -254,6 +257,7 @@
             process,
             proxy,
             door,
+            store_path,
             ip,
             name,
             file,
--- /dev/null
+++ b/tests/platform/store_path.rs
@@ -0,0 +1,50 @@
+//! Entries whose path to the store fails without a sign of it.
+
+use crate::configuration::has_version;
+use crate::site::Site;
+use cassiarock_test_support::proxy::{Direction, Fault, Scope};
+use std::time::{Duration, Instant};
+
+/// After a disturbance has ended, an entry has this long until the bound below holds again.
+const CONTACT: Duration = Duration::from_secs(3);
+
+/// What operators allow for a change to be in force.
+const IN_FORCE: Duration = Duration::from_secs(2);
+
+/// How long a start may take, on a busy machine.
+const START: Duration = Duration::from_secs(10);
+
+/// Silences the open connections of all entries to the store, and gives how late each entry has a
+/// configuration that is published `CONTACT - IN_FORCE` later, when the bound holds again.
+async fn lateness_after_silence(entries: usize) -> Vec<Duration> {
+    let mut site = Site::start_entries(entries).await;
+    for entry in &site.entries {
+        has_version(entry, 1, START).await;
+    }
+    for entry in &site.entries {
+        entry
+            .store_path
+            .set(Scope::Existing, Direction::Both, Fault::Silent);
+    }
+    let silenced = Instant::now();
+    tokio::time::sleep(CONTACT - IN_FORCE).await;
+    let version = site.configure_queues(2);
+    let mut late = Vec::new();
+    for entry in &site.entries {
+        has_version(entry, version, Duration::from_secs(30)).await;
+        late.push(silenced.elapsed().saturating_sub(CONTACT));
+    }
+    late
+}
+
+#[tokio::test]
+async fn an_entry_alone_has_a_configuration_in_time_after_its_reads_went_silent() {
+    let late = lateness_after_silence(1).await;
+    assert_eq!(late, [Duration::ZERO; 1]);
+}
+
+#[tokio::test]
+async fn all_entries_have_a_configuration_in_time_after_all_their_reads_went_silent() {
+    let late = lateness_after_silence(3).await;
+    assert_eq!(late, [Duration::ZERO; 3]);
+}
