Log how old a configuration is when it is put in force, and what a 404 knew

The incident's hypotheses could not be told apart by the logs.

- `configuration in force` has `age_ms`, and a histogram has it: the time since the version was read, or since another entry was asked for it.
A starved process or a long queue of inputs shows there.
- `lost` for a topic of the store has `waited_ms`: how long the read had been waiting when it failed.
A silent read shows there.

No decision changes.

--- a/crates/cassiarock-dispatch/src/entry/links.rs
+++ b/crates/cassiarock-dispatch/src/entry/links.rs
@@ -9,6 +9,7 @@
 use cassiarock_transient::scheduler::Action;
 use cassiarock_transient::{Message, directory, timing};
 use cassiarock_wire::{Frame, Hello, Role};
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 /// Most entries whose addresses are sent to agents. The service is designed for some 600 entries.
@@ -64,6 +65,7 @@
     ) -> Vec<Action> {
         match (peer.role, message) {
             (Role::Entry, Message::EntryHeartbeat { version, .. }) => {
+                self.newest_version.fetch_max(version, Ordering::Relaxed);
                 let is_sending = self.store.is_receiving();
                 if version > self.version() && self.lag.should_ask(&peer.process, is_sending, now) {
                     log::info!(dependency:% = peer.process, version = version, before = self.version(); "configuration asked for");
@@ -77,7 +79,11 @@
             }
             (Role::Entry, Message::Configuration { packed, .. }) => {
                 match decompress(&packed) {
-                    Ok(text) => self.apply_configuration(&text, "another entry"),
+                    Ok(text) => {
+                        let asked_at = self.lag.asked_at().unwrap_or(now);
+                        let age = now.saturating_sub(asked_at);
+                        self.apply_configuration(&text, "another entry", age);
+                    }
                     Err(error) => {
                         log::warn!(from:% = peer.process; "configuration ignored: {error}");
                     }
--- a/crates/cassiarock-dispatch/src/entry/mod.rs
+++ b/crates/cassiarock-dispatch/src/entry/mod.rs
@@ -22,6 +22,7 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 use tokio::sync::{oneshot, watch};
 use tokio::time::Instant;
@@ -35,8 +36,8 @@
     Call(Call),
     /// An event of a link.
     Link(Event),
-    /// A configuration from the store.
-    Configuration(Name),
+    /// A configuration from the store, and when it was read.
+    Configuration(Name, Instant),
     /// The data centres to evacuate, from the store.
     Evacuations(evacuation::State),
     /// The address of another entry.
@@ -67,6 +68,8 @@
     /// The client that reads the operators' configuration.
     pub(crate) store: Store,
     pub(crate) table: watch::Sender<Option<Arc<RouteTable>>>,
+    /// The highest version that this entry has been told of, for requests that match no route.
+    pub(crate) newest_version: Arc<AtomicU64>,
     pub(crate) status: watch::Sender<Status>,
     /// Link addresses of the other entries, as announced on their links.
     pub(crate) entries: BTreeSet<Endpoint>,
@@ -103,8 +106,8 @@
         match input {
             Input::Call(call) => self.handle_call(call, now),
             Input::Link(event) => self.handle_event(event, now),
-            Input::Configuration(text) => {
-                self.apply_configuration(&text, "the store");
+            Input::Configuration(text, read_at) => {
+                self.apply_configuration(&text, "the store", read_at.elapsed());
                 Vec::new()
             }
             Input::Evacuations(state) => {
--- a/crates/cassiarock-dispatch/src/entry/orders.rs
+++ b/crates/cassiarock-dispatch/src/entry/orders.rs
@@ -8,6 +8,8 @@
 use cassiarock_transient::{Message, evacuation};
 use std::io;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 /// The configuration in force, as it is sent to other entries.
 #[derive(Debug)]
@@ -43,8 +45,9 @@
 }
 
 impl Entry {
-    /// Applies a configuration if it is newer than the one in force.
-    pub(super) fn apply_configuration(&mut self, text: &Name, from: &'static str) {
+    /// Applies a configuration if it is newer than the one in force. `age` is the time since it was
+    /// read from the store, or since another entry was asked for it.
+    pub(super) fn apply_configuration(&mut self, text: &Name, from: &'static str, age: Duration) {
         let table = match configuration::decode(text) {
             Ok(table) => table,
             Err(error) => {
@@ -55,7 +58,10 @@
         if table.version <= self.version() {
             return;
         }
-        log::info!(version = table.version, before = self.version(), routes = table.len(), from = from; "configuration in force");
+        log::info!(version = table.version, before = self.version(), routes = table.len(), from = from, age_ms = age.as_millis(); "configuration in force");
+        metrics::histogram!("cassiarock_configuration_age_seconds", "from" => from).record(age);
+        self.newest_version
+            .fetch_max(table.version, Ordering::Relaxed);
         metrics::gauge!("cassiarock_configuration_version").set(table.version as f64);
         self.scheduler.set_version(table.version);
         self.configuration = Some(Configuration::new(table.version, text.clone()));
--- a/crates/cassiarock-dispatch/src/follow.rs
+++ b/crates/cassiarock-dispatch/src/follow.rs
@@ -48,6 +48,7 @@
     let mut next = None;
     let mut lost_since: Option<tokio::time::Instant> = None;
     loop {
+        let started_at = tokio::time::Instant::now();
         match read_once(&store, subscription, next, &mut on_event).await {
             Ok(end) => {
                 next = end;
@@ -60,7 +61,8 @@
             Err(error) => {
                 if lost_since.is_none() {
                     lost_since = Some(tokio::time::Instant::now());
-                    log::warn!(dependency = "store", topic = topic; "lost: {error}");
+                    let waited_ms = started_at.elapsed().as_millis() as u64;
+                    log::warn!(dependency = "store", topic = topic, waited_ms = waited_ms; "lost: {error}");
                 }
                 metrics::counter!("cassiarock_store_errors_total", "topic" => topic).increment(1);
                 let wait = backoff.record_failure(rand::random());
--- a/crates/cassiarock-dispatch/src/operator.rs
+++ b/crates/cassiarock-dispatch/src/operator.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
 
 /// A configuration of 1,700 routes is some 250 KB, which takes a second over a link of 2 Mbit/s.
 /// Records are read one at a time, so that those written during a read and replaced before its end
@@ -81,7 +82,7 @@
         if let Some(text) = &orders.configuration
             && !is_same_text(&sent.configuration, text)
             && inputs
-                .send(Input::Configuration(text.clone()))
+                .send(Input::Configuration(text.clone(), Instant::now()))
                 .await
                 .is_err()
         {
--- a/crates/cassiarock-dispatch/src/run/entry.rs
+++ b/crates/cassiarock-dispatch/src/run/entry.rs
@@ -22,7 +22,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
@@ -110,7 +110,14 @@
         let (table, received_table) = watch::channel(None);
         let roster = Roster::new(process.name.clone()).with_links(LINKS_PER_ENTRY);
         let mesh = Mesh::new(roster, identity.clone(), Key::new(KEY), events.clone());
-        let actor = Entry::spawn(create_actor(mesh, table, status, store.clone()));
+        let newest_version = Arc::new(AtomicU64::new(0));
+        let actor = Entry::spawn(create_actor(
+            mesh,
+            table,
+            newest_version.clone(),
+            status,
+            store.clone(),
+        ));
 
         let mut parts = Parts::default();
         parts.spawn_vital(
@@ -169,7 +176,8 @@
             received_table,
             is_leaving.clone(),
             configuration_deadline,
-        );
+        )
+        .with_newest_version(newest_version);
         let (close, closing) = watch::channel(Stage::Run);
         let server = tokio::spawn(serve(listener, callers::router(state), closing));
         Ok(Self {
@@ -227,6 +235,7 @@
 fn create_actor(
     mesh: Mesh,
     table: watch::Sender<Option<Arc<RouteTable>>>,
+    newest_version: Arc<AtomicU64>,
     status: watch::Sender<Status>,
     store: Store,
 ) -> Entry {
@@ -239,6 +248,7 @@
         lag: ConfigurationLag::new(),
         store,
         table,
+        newest_version,
         status,
         entries: BTreeSet::new(),
         mesh,
--- a/crates/cassiarock-transient/src/lag.rs
+++ b/crates/cassiarock-transient/src/lag.rs
@@ -71,6 +71,12 @@
         is_due
     }
 
+    /// When another entry was last asked for a copy that has not arrived yet.
+    #[must_use]
+    pub fn asked_at(&self) -> Option<Duration> {
+        self.asked.as_ref().map(|(_, asked_at)| *asked_at)
+    }
+
     /// Starts over after a version arrived, whatever its source. If other entries still have a
     /// newer one, their heartbeats report it again.
     pub fn reset(&mut self) {
