Replace a waiting read of the store when nothing proves that it still works

What callers saw: 404 for a route that had been added, for up to 23 s after its configuration was acknowledged, at all entries alike.

Cause: an entry learned of orders only by a read that waits 20 s for a record and was given up after 23 s. It could not tell that nothing was ordered from a read that had been lost. Keep-alive finds only a connection whose other end's system is gone, and is off while sent data is unacknowledged. A record ends the waiting reads of all entries at the same moment, so one disturbance can lose all of them, and then no entry has a copy to give. Class: silence taken for proof.

Whether this is what the users met is not shown: their record has no lines of that time.

Fix: each entry knows when the store last proved that its orders are complete, by an answer to its own read or to that of another entry, which heartbeats report (age and hops).

--- a/crates/cassiarock-dispatch/src/directory.rs
+++ b/crates/cassiarock-dispatch/src/directory.rs
@@ -1,7 +1,7 @@
 //! The directory of entries: a topic of the platform's store with the link address of each entry.
 
 use crate::agent::Input;
-use crate::follow::{Subscription, TopicEvent, follow};
+use crate::follow::{Pace, Subscription, TopicEvent, follow};
 use cassiarock_adapter::store::{KeyedRecord, Partition, encode_keyed};
 use cassiarock_adapter::{Error, Store};
 use cassiarock_id::{Name, Process, Wall};
@@ -152,7 +152,7 @@
             log::debug!("directory of entries: the process is ending");
         }
     };
-    follow(store, SUBSCRIPTION, |event| match event {
+    follow(store, SUBSCRIPTION, Pace::Relaxed, |event| match event {
         TopicEvent::Newest(records, end) => {
             send(Update::full(end, records.iter().map(endpoint)));
         }
--- a/crates/cassiarock-dispatch/src/entry/links.rs
+++ b/crates/cassiarock-dispatch/src/entry/links.rs
@@ -64,7 +64,17 @@
         now: Duration,
     ) -> Vec<Action> {
         match (peer.role, message) {
-            (Role::Entry, Message::EntryHeartbeat { version, .. }) => {
+            (
+                Role::Entry,
+                Message::EntryHeartbeat {
+                    version, freshness, ..
+                },
+            ) => {
+                if let Some(report) = freshness
+                    && version == self.version()
+                {
+                    self.freshness.record_report(report);
+                }
                 self.newest_version.fetch_max(version, Ordering::Relaxed);
                 let is_sending = self.store.is_receiving();
                 if version > self.version() && self.lag.should_ask(&peer.process, is_sending, now) {
@@ -132,6 +142,7 @@
         }
         self.last_heartbeat = now;
         let version = self.version();
+        let freshness = self.freshness.report();
         let entries = self
             .links
             .all()
@@ -141,6 +152,7 @@
                 echo: 0,
                 version,
                 ask: None,
+                freshness,
             };
             // A link that does not accept it is about to close.
             let _ = link.send(Frame::Transient(message));
--- a/crates/cassiarock-dispatch/src/entry/mod.rs
+++ b/crates/cassiarock-dispatch/src/entry/mod.rs
@@ -5,6 +5,7 @@
 mod orders;
 mod report;
 
+use crate::freshness::SharedFreshness;
 use crate::learned::RoutePatience;
 use crate::mesh::Mesh;
 use cassiarock_adapter::Store;
@@ -65,6 +66,8 @@
     pub(crate) configuration: Option<Configuration>,
     /// Decides when to ask which entry for a newer configuration.
     pub(crate) lag: ConfigurationLag,
+    /// When the operators' orders were last known to be complete.
+    pub(crate) freshness: SharedFreshness,
     /// The client that reads the operators' configuration.
     pub(crate) store: Store,
     pub(crate) table: watch::Sender<Option<Arc<RouteTable>>>,
--- a/crates/cassiarock-dispatch/src/lib.rs
+++ b/crates/cassiarock-dispatch/src/lib.rs
@@ -8,6 +8,7 @@
 mod entry;
 mod error;
 mod follow;
+mod freshness;
 mod learned;
 mod links;
 mod mesh;
--- a/crates/cassiarock-dispatch/src/operator.rs
+++ b/crates/cassiarock-dispatch/src/operator.rs
@@ -1,7 +1,8 @@
 //! Follows the operators' orders: the configuration, and the data centres to evacuate.
 
 use crate::entry::Input;
-use crate::follow::{Subscription, TopicEvent, follow};
+use crate::follow::{Pace, Subscription, TopicEvent, follow};
+use crate::freshness::SharedFreshness;
 use cassiarock_adapter::Store;
 use cassiarock_adapter::operator::{Order, TOPIC};
 use cassiarock_id::Name;
@@ -59,9 +60,13 @@
 
 /// Passes the operators' orders to the entry until the process ends. An entry that is behind gets
 /// only the newest orders, but always those.
-pub(crate) async fn follow_orders(store: Store, inputs: mpsc::Sender<Input>) {
+pub(crate) async fn follow_orders(
+    store: Store,
+    freshness: SharedFreshness,
+    inputs: mpsc::Sender<Input>,
+) {
     let (known, changes) = watch::channel(OperatorOrders::default());
-    let following = follow(store, SUBSCRIPTION, |event| {
+    let following = follow(store, SUBSCRIPTION, Pace::Fresh(freshness), |event| {
         known.send_modify(|orders| orders.apply(event));
     });
     tokio::join!(following, forward(changes, inputs));
--- a/crates/cassiarock-dispatch/src/run/entry.rs
+++ b/crates/cassiarock-dispatch/src/run/entry.rs
@@ -2,6 +2,7 @@
 
 use super::{FLUSH_DELAY, GRACE_RESERVE, KEY, bind, identity, monitor, seed};
 use crate::entry::{Batch, Entry, Input};
+use crate::freshness::SharedFreshness;
 use crate::mesh::Mesh;
 use crate::reload::reload;
 use crate::{Error, directory, learned, operator};
@@ -111,12 +112,15 @@
         let roster = Roster::new(process.name.clone()).with_links(LINKS_PER_ENTRY);
         let mesh = Mesh::new(roster, identity.clone(), Key::new(KEY), events.clone());
         let newest_version = Arc::new(AtomicU64::new(0));
+        let clock = Clock::new();
+        let freshness = SharedFreshness::new(clock);
         let actor = Entry::spawn(create_actor(
             mesh,
             table,
             newest_version.clone(),
             status,
             store.clone(),
+            (clock, freshness.clone()),
         ));
 
         let mut parts = Parts::default();
@@ -166,7 +170,7 @@
         );
         parts.spawn_vital(
             "the operators' orders",
-            operator::follow_orders(store, inputs.clone()),
+            operator::follow_orders(store, freshness, inputs.clone()),
         );
         monitor(&settings, &statuses, &mut parts).await?;
         let is_leaving = Arc::new(AtomicBool::new(false));
@@ -238,14 +242,16 @@
     newest_version: Arc<AtomicU64>,
     status: watch::Sender<Status>,
     store: Store,
+    (clock, freshness): (Clock, SharedFreshness),
 ) -> Entry {
     Entry {
         scheduler: Scheduler::new(),
-        clock: Clock::new(),
+        clock,
         links: Links::new(),
         callers: HashMap::new(),
         configuration: None,
         lag: ConfigurationLag::new(),
+        freshness,
         store,
         table,
         newest_version,
--- a/crates/cassiarock-transient/src/lib.rs
+++ b/crates/cassiarock-transient/src/lib.rs
@@ -4,6 +4,7 @@
 mod decision;
 pub mod directory;
 pub mod evacuation;
+pub mod freshness;
 pub mod host;
 mod incarnation;
 mod job;
--- a/crates/cassiarock-transient/src/message.rs
+++ b/crates/cassiarock-transient/src/message.rs
@@ -1,6 +1,6 @@
 //! Messages between entries and agents about transient jobs.
 
-use crate::{Incarnation, Resources, directory, evacuation};
+use crate::{Incarnation, Resources, directory, evacuation, freshness};
 use cassiarock_id::Name;
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
@@ -221,6 +221,9 @@
         /// What the entry would start next, if it asks this agent for capacity.
         #[serde(default)]
         ask: Option<CapacityRequest>,
+        /// How fresh the entry's orders are; only sent to other entries.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        freshness: Option<freshness::Report>,
     },
     /// Agent to entry: a heartbeat.
     #[serde(rename = "AgentBeat")]
--- a/crates/cassiarock-transient/src/scheduler/link.rs
+++ b/crates/cassiarock-transient/src/scheduler/link.rs
@@ -142,6 +142,7 @@
             echo: agent.clock,
             version: self.version,
             ask,
+            freshness: None,
         };
         actions.push(Action::Send(process.clone(), message));
     }
--- a/crates/cassiarock-transient/tests/extremes.rs
+++ b/crates/cassiarock-transient/tests/extremes.rs
@@ -169,7 +169,8 @@
         (edge(), edge(), request()).prop_map(|(echo, version, ask)| Message::EntryHeartbeat {
             echo,
             version,
-            ask
+            ask,
+            freshness: None
         }),
         (edge(), edge(), vec(order(), 0..4), request()).prop_map(|(serial, echo, orders, ask)| {
             Message::Orders {
--- a/crates/cassiarock-transient/tests/host/room.rs
+++ b/crates/cassiarock-transient/tests/host/room.rs
@@ -90,6 +90,7 @@
         echo: u64::try_from(harness.now.as_millis()).unwrap(),
         version: 1,
         ask,
+        freshness: None,
     };
     let actions = harness
         .host
@@ -178,6 +179,7 @@
         echo: u64::try_from(harness.now.as_millis()).unwrap(),
         version: 1,
         ask: Some(request(0)),
+        freshness: None,
     };
     let actions = harness.host.handle_message(&entry(3), message, harness.now);
     assert_eq!(actions, []);
