Find a route by its host in any case

What callers saw: 404 for an existing route, if they wrote its host in capitals or the configuration did.

Cause: the table is sorted by the exact host and searched by the exact host, and only then compared without case.

Fix: hosts are in lower case in the table, and looked up so.

Test: a_route_is_found_by_its_host_in_any_case failed before for B.EXAMPLE.

--- a/crates/cassiarock-transient/src/table.rs
+++ b/crates/cassiarock-transient/src/table.rs
@@ -2,6 +2,7 @@
 
 use crate::JobClass;
 use cassiarock_id::Name;
+use std::borrow::Cow;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -40,9 +41,14 @@
 }
 
 impl RouteTable {
-    /// Creates a table of `routes`. Longer prefixes match before shorter ones.
+    /// Creates a table of `routes`. Longer prefixes match before shorter ones, and hosts in any case.
     #[must_use]
     pub fn new(version: u64, limits: RequestLimits, mut routes: Vec<Route>) -> Self {
+        for route in &mut routes {
+            if let Cow::Owned(host) = lower_case(&route.host) {
+                route.host = host.into();
+            }
+        }
         routes.sort_by(|a, b| {
             let longest = b.prefix.len().cmp(&a.prefix.len());
             a.host.cmp(&b.host).then(longest)
@@ -58,9 +64,10 @@
     #[must_use]
     pub fn find(&self, host: &str, path: &str) -> Option<&Route> {
         let host = host.split(':').next().unwrap_or_default();
-        let first = self.routes.partition_point(|route| &*route.host < host);
+        let host = lower_case(host);
+        let first = self.routes.partition_point(|route| *route.host < *host);
         let same = self.routes[first..].iter();
-        same.take_while(|route| route.host.eq_ignore_ascii_case(host))
+        same.take_while(|route| *route.host == *host)
             .find(|route| path.starts_with(&*route.prefix))
     }
 
@@ -76,3 +83,12 @@
         self.routes.is_empty()
     }
 }
+
+/// The host in lower case, as host names are compared. Copies only those that have capitals.
+fn lower_case(host: &str) -> Cow<'_, str> {
+    if host.bytes().any(|byte| byte.is_ascii_uppercase()) {
+        Cow::Owned(host.to_ascii_lowercase())
+    } else {
+        Cow::Borrowed(host)
+    }
+}
