Put a configuration's route table in force as it is read, not behind the actor's queue

The path is shorter for it: the reader decodes the configuration and puts it in force itself, never a lower version; the actor gets it afterwards, for its version and for copies to other entries.

An entry reports freshness to others only for a version that it can also send.

Test: tests/operator.rs of cassiarock-dispatch: a configuration is in force while the actor takes no updates. The function that it calls did not have the table before; a configuration went into the queue and no further.

--- a/crates/cassiarock-dispatch/src/entry/links.rs
+++ b/crates/cassiarock-dispatch/src/entry/links.rs
@@ -71,14 +71,15 @@
                 },
             ) => {
                 if let Some(report) = freshness
-                    && version == self.version()
+                    && version == self.table.version()
                 {
                     self.freshness.record_report(report);
                 }
                 self.newest_version.fetch_max(version, Ordering::Relaxed);
                 let is_sending = self.store.is_receiving();
-                if version > self.version() && self.lag.should_ask(&peer.process, is_sending, now) {
-                    log::info!(dependency:% = peer.process, version = version, before = self.version(); "configuration asked for");
+                let before = self.table.version();
+                if version > before && self.lag.should_ask(&peer.process, is_sending, now) {
+                    log::info!(dependency:% = peer.process, version = version, before = before; "configuration asked for");
                     send(&self.links, &peer.process, Message::AskConfiguration);
                 }
                 Vec::new()
@@ -92,7 +93,7 @@
                     Ok(text) => {
                         let asked_at = self.lag.asked_at().unwrap_or(now);
                         let age = now.saturating_sub(asked_at);
-                        self.apply_configuration(&text, "another entry", age);
+                        self.apply_copy(&text, age);
                     }
                     Err(error) => {
                         log::warn!(from:% = peer.process; "configuration ignored: {error}");
@@ -142,7 +143,9 @@
         }
         self.last_heartbeat = now;
         let version = self.version();
-        let freshness = self.freshness.report();
+        // A newer version that waits for the actor is not reported yet, nor is its freshness.
+        let is_current = version == self.table.version();
+        let freshness = self.freshness.report().filter(|_| is_current);
         let entries = self
             .links
             .all()
--- a/crates/cassiarock-dispatch/src/entry/mod.rs
+++ b/crates/cassiarock-dispatch/src/entry/mod.rs
@@ -8,6 +8,8 @@
 use crate::freshness::SharedFreshness;
 use crate::learned::RoutePatience;
 use crate::mesh::Mesh;
+use crate::operator::Update;
+use crate::route_table::SharedTable;
 use cassiarock_adapter::Store;
 use cassiarock_adapter::callers::Call;
 use cassiarock_id::{Name, Wall};
@@ -16,7 +18,7 @@
 use cassiarock_transient::directory::Endpoint;
 use cassiarock_transient::lag::ConfigurationLag;
 use cassiarock_transient::scheduler::{Action, Answer};
-use cassiarock_transient::{RouteTable, Scheduler, directory, evacuation};
+use cassiarock_transient::{Scheduler, directory};
 use kameo::Actor;
 use kameo::message::{Context, Message as Handle};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -37,10 +39,8 @@
     Call(Call),
     /// An event of a link.
     Link(Event),
-    /// A configuration from the store, and when it was read.
-    Configuration(Name, Instant),
-    /// The data centres to evacuate, from the store.
-    Evacuations(evacuation::State),
+    /// An update of the operators' orders, from the store.
+    Operator(Update),
     /// The address of another entry.
     EntryAddress(SocketAddr),
     /// An update of the directory of entries, from the store.
@@ -70,7 +70,7 @@
     pub(crate) freshness: SharedFreshness,
     /// The client that reads the operators' configuration.
     pub(crate) store: Store,
-    pub(crate) table: watch::Sender<Option<Arc<RouteTable>>>,
+    pub(crate) table: SharedTable,
     /// The highest version that this entry has been told of, for requests that match no route.
     pub(crate) newest_version: Arc<AtomicU64>,
     pub(crate) status: watch::Sender<Status>,
@@ -109,12 +109,8 @@
         match input {
             Input::Call(call) => self.handle_call(call, now),
             Input::Link(event) => self.handle_event(event, now),
-            Input::Configuration(text, read_at) => {
-                self.apply_configuration(&text, "the store", read_at.elapsed());
-                Vec::new()
-            }
-            Input::Evacuations(state) => {
-                self.apply_evacuations(&state, "the store");
+            Input::Operator(update) => {
+                self.handle_update(&update);
                 Vec::new()
             }
             Input::EntryAddress(address) => {
--- a/crates/cassiarock-dispatch/src/entry/orders.rs
+++ b/crates/cassiarock-dispatch/src/entry/orders.rs
@@ -3,12 +3,11 @@
 use super::Entry;
 use crate::compression::compress;
 use crate::links::send;
+use crate::operator::Update;
 use cassiarock_adapter::configuration;
 use cassiarock_id::{Name, Process, Wall};
 use cassiarock_transient::{Message, evacuation};
 use std::io;
-use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 /// The configuration in force, as it is sent to other entries.
@@ -45,31 +44,38 @@
 }
 
 impl Entry {
-    /// Applies a configuration if it is newer than the one in force. `age` is the time since it was
-    /// read from the store, or since another entry was asked for it.
-    pub(super) fn apply_configuration(&mut self, text: &Name, from: &'static str, age: Duration) {
-        let table = match configuration::decode(text) {
-            Ok(table) => table,
-            Err(error) => {
-                log::warn!(from = from; "configuration ignored: {error}");
-                return;
+    /// Applies an update that was read from the store. The route table of a configuration is in force
+    /// already.
+    pub(super) fn handle_update(&mut self, update: &Update) {
+        match update {
+            Update::Configuration(version, text) => self.set_configuration(*version, text),
+            Update::Evacuations(state) => self.apply_evacuations(state, "the store"),
+        }
+    }
+
+    /// Applies the copy of a configuration that another entry sent. `age` is the time since it was
+    /// asked for.
+    pub(super) fn apply_copy(&mut self, text: &Name, age: Duration) {
+        match configuration::decode(text) {
+            Ok(table) => {
+                let version = table.version;
+                self.table.adopt(table, "another entry", age);
+                self.set_configuration(version, text);
             }
-        };
-        if table.version <= self.version() {
+            Err(error) => log::warn!(from = "another entry"; "configuration ignored: {error}"),
+        }
+    }
+
+    fn set_configuration(&mut self, version: u64, text: &Name) {
+        if version <= self.version() {
             return;
         }
-        log::info!(version = table.version, before = self.version(), routes = table.len(), from = from, age_ms = age.as_millis(); "configuration in force");
-        metrics::histogram!("cassiarock_configuration_age_seconds", "from" => from).record(age);
-        self.newest_version
-            .fetch_max(table.version, Ordering::Relaxed);
-        metrics::gauge!("cassiarock_configuration_version").set(table.version as f64);
-        self.scheduler.set_version(table.version);
-        self.configuration = Some(Configuration::new(table.version, text.clone()));
+        self.scheduler.set_version(version);
+        self.configuration = Some(Configuration::new(version, text.clone()));
         self.lag.reset();
-        self.table.send_replace(Some(Arc::new(table)));
     }
 
-    /// The version of the configuration in force; 0 if there is none.
+    /// The version of the configuration that this entry can send to others; 0 if there is none.
     pub(super) fn version(&self) -> u64 {
         self.configuration.as_ref().map_or(0, |known| known.version)
     }
--- a/crates/cassiarock-dispatch/src/lib.rs
+++ b/crates/cassiarock-dispatch/src/lib.rs
@@ -15,6 +15,7 @@
 mod operator;
 mod orders;
 mod reload;
+mod route_table;
 mod run;
 
 pub use error::Error;
--- a/crates/cassiarock-dispatch/src/operator.rs
+++ b/crates/cassiarock-dispatch/src/operator.rs
@@ -1,13 +1,12 @@
 //! Follows the operators' orders: the configuration, and the data centres to evacuate.
 
-use crate::entry::Input;
 use crate::follow::{Pace, Subscription, TopicEvent, follow};
 use crate::freshness::SharedFreshness;
-use cassiarock_adapter::Store;
+use crate::route_table::SharedTable;
 use cassiarock_adapter::operator::{Order, TOPIC};
+use cassiarock_adapter::{Store, configuration};
 use cassiarock_id::Name;
 use cassiarock_transient::evacuation;
-use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
@@ -22,21 +21,31 @@
     pause: Duration::ZERO,
 };
 
+/// An update of the operators' orders for the entry's actor.
+#[derive(Debug)]
+pub(crate) enum Update {
+    /// The version and the text of a configuration whose route table is in force.
+    Configuration(u64, Name),
+    /// The data centres to evacuate.
+    Evacuations(evacuation::State),
+}
+
 /// The operators' orders that have been read.
 #[derive(Clone, Debug, Default)]
 struct OperatorOrders {
-    configuration: Option<Name>,
+    /// The version and the text of the configuration.
+    configuration: Option<(u64, Name)>,
     evacuations: evacuation::State,
 }
 
 impl OperatorOrders {
-    fn apply(&mut self, event: TopicEvent<'_>) {
+    fn apply(&mut self, event: TopicEvent<'_>, table: &SharedTable) {
         match event {
             TopicEvent::Newest(records, end) => {
                 let mut evacuated = Vec::new();
                 for order in records.iter().filter_map(Order::from_record) {
                     match order {
-                        Order::Configuration(text) => self.configuration = Some(text),
+                        Order::Configuration(text) => self.configure(text, table),
                         Order::Evacuate(data_centre) => evacuated.push(data_centre),
                         Order::Restore(_) => {}
                     }
@@ -44,7 +53,7 @@
                 self.evacuations = evacuation::State::new(end, evacuated);
             }
             TopicEvent::Record(offset, key, value) => match Order::decode(key, value) {
-                Some(Order::Configuration(text)) => self.configuration = Some(text),
+                Some(Order::Configuration(text)) => self.configure(text, table),
                 Some(Order::Evacuate(data_centre)) => {
                     self.evacuations.apply(offset, data_centre, true)
                 }
@@ -56,48 +65,58 @@
             TopicEvent::ReadCompleted => {}
         }
     }
+
+    /// Puts the configuration's route table in force at once. In the queue to the actor it would
+    /// wait behind calls and messages, and callers would be told that a new route does not exist.
+    fn configure(&mut self, text: Name, table: &SharedTable) {
+        let read_at = Instant::now();
+        match configuration::decode(&text) {
+            Ok(routes) => {
+                self.configuration = Some((routes.version, text));
+                table.adopt(routes, "the store", read_at.elapsed());
+            }
+            Err(error) => log::warn!(from = "the store"; "configuration ignored: {error}"),
+        }
+    }
 }
 
-/// Passes the operators' orders to the entry until the process ends. An entry that is behind gets
-/// only the newest orders, but always those.
+/// Puts the route tables of configurations in force as they are read, and passes all orders to the
+/// entry's actor, until the process ends. An actor that is behind gets only the newest orders, but
+/// always those.
 pub(crate) async fn follow_orders(
     store: Store,
     freshness: SharedFreshness,
-    inputs: mpsc::Sender<Input>,
+    table: SharedTable,
+    updates: mpsc::Sender<Update>,
 ) {
     let (known, changes) = watch::channel(OperatorOrders::default());
     let following = follow(store, SUBSCRIPTION, Pace::Fresh(freshness), |event| {
-        known.send_modify(|orders| orders.apply(event));
+        known.send_modify(|orders| orders.apply(event, &table));
     });
-    tokio::join!(following, forward(changes, inputs));
+    tokio::join!(following, forward(changes, updates));
 }
 
-async fn forward(mut changes: watch::Receiver<OperatorOrders>, inputs: mpsc::Sender<Input>) {
+async fn forward(mut changes: watch::Receiver<OperatorOrders>, updates: mpsc::Sender<Update>) {
     let mut sent = OperatorOrders::default();
     while changes.changed().await.is_ok() {
         let orders = changes.borrow_and_update().clone();
         // Evacuations come before the configuration, so that a new process does not use an evacuated
         // data centre in between.
         if orders.evacuations != sent.evacuations {
-            let input = Input::Evacuations(orders.evacuations.clone());
-            if inputs.send(input).await.is_err() {
+            let update = Update::Evacuations(orders.evacuations.clone());
+            if updates.send(update).await.is_err() {
                 return;
             }
         }
-        if let Some(text) = &orders.configuration
-            && !is_same_text(&sent.configuration, text)
-            && inputs
-                .send(Input::Configuration(text.clone(), Instant::now()))
-                .await
-                .is_err()
+        let is_sent = |version| sent.configuration.as_ref().map(|(sent, _)| *sent) == Some(version);
+        if let Some((version, text)) = &orders.configuration
+            && !is_sent(*version)
         {
-            return;
+            let update = Update::Configuration(*version, text.clone());
+            if updates.send(update).await.is_err() {
+                return;
+            }
         }
         sent = orders;
     }
 }
-
-/// Whether `text` is the text that was sent last. Compares the pointers, not the contents.
-fn is_same_text(sent: &Option<Name>, text: &Name) -> bool {
-    sent.as_ref().is_some_and(|sent| Arc::ptr_eq(sent, text))
-}
--- /dev/null
+++ b/crates/cassiarock-dispatch/src/route_table.rs
@@ -0,0 +1,40 @@
+//! The route table in force, which the callers' server and the entry's actor share.
+
+use cassiarock_transient::RouteTable;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::watch;
+
+/// The route table in force; clones share it.
+#[derive(Clone, Debug)]
+pub(crate) struct SharedTable(watch::Sender<Option<Arc<RouteTable>>>);
+
+impl SharedTable {
+    /// Creates a shared table without a configuration.
+    pub(crate) fn new() -> Self {
+        Self(watch::Sender::new(None))
+    }
+
+    pub(crate) fn subscribe(&self) -> watch::Receiver<Option<Arc<RouteTable>>> {
+        self.0.subscribe()
+    }
+
+    /// The version in force; 0 if there is none.
+    pub(crate) fn version(&self) -> u64 {
+        self.0.borrow().as_ref().map_or(0, |table| table.version)
+    }
+
+    /// Puts `table` in force unless the one in force is as new. `age` is the time since it was read
+    /// from the store, or since another entry was asked for it.
+    pub(crate) fn adopt(&self, table: RouteTable, from: &'static str, age: Duration) -> bool {
+        let (version, before, routes) = (table.version, self.version(), table.len());
+        if version <= before {
+            return false;
+        }
+        self.0.send_replace(Some(Arc::new(table)));
+        log::info!(version = version, before = before, routes = routes, from = from, age_ms = age.as_millis(); "configuration in force");
+        metrics::gauge!("cassiarock_configuration_version").set(version as f64);
+        metrics::histogram!("cassiarock_configuration_age_seconds", "from" => from).record(age);
+        true
+    }
+}
--- a/crates/cassiarock-dispatch/src/run/entry.rs
+++ b/crates/cassiarock-dispatch/src/run/entry.rs
@@ -5,6 +5,7 @@
 use crate::freshness::SharedFreshness;
 use crate::mesh::Mesh;
 use crate::reload::reload;
+use crate::route_table::SharedTable;
 use crate::{Error, directory, learned, operator};
 use cassiarock_adapter::callers::{self, RouterState};
 use cassiarock_adapter::{Settings, Store};
@@ -14,10 +15,10 @@
 use cassiarock_process::{
     BACKLOG, Clock, Fault, Parts, Pump, Report, Stage, Status, forward, until,
 };
+use cassiarock_transient::Scheduler;
 use cassiarock_transient::directory::Endpoint;
 use cassiarock_transient::lag::ConfigurationLag;
 use cassiarock_transient::roster::{LINKS_PER_ENTRY, Roster};
-use cassiarock_transient::{RouteTable, Scheduler};
 use cassiarock_wire::Role;
 use kameo::actor::Spawn;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -45,6 +46,9 @@
 /// Most connections of callers, three quarters of the 4,100 file descriptors of the smallest VMs.
 const MAX_CONNECTIONS: usize = 3_000;
 
+/// How many updates of the operators' orders wait for the actor; later ones replace each other.
+const ORDER_BACKLOG: usize = 2;
+
 /// How long the last answers may take to reach their callers, whose links may be slow.
 const ANSWER_TIME: Duration = Duration::from_millis(600);
 
@@ -108,7 +112,8 @@
         let (addresses, received_addresses) = mpsc::channel(BACKLOG);
         let first = Status::new(process.clone(), "entry", settings.data_centre.clone());
         let (status, statuses) = watch::channel(first);
-        let (table, received_table) = watch::channel(None);
+        let table = SharedTable::new();
+        let received_table = table.subscribe();
         let roster = Roster::new(process.name.clone()).with_links(LINKS_PER_ENTRY);
         let mesh = Mesh::new(roster, identity.clone(), Key::new(KEY), events.clone());
         let newest_version = Arc::new(AtomicU64::new(0));
@@ -116,7 +121,7 @@
         let freshness = SharedFreshness::new(clock);
         let actor = Entry::spawn(create_actor(
             mesh,
-            table,
+            table.clone(),
             newest_version.clone(),
             status,
             store.clone(),
@@ -168,9 +173,14 @@
             "the exchange of caller patience",
             learned::sync(store.clone(), inputs.clone()),
         );
+        let (orders, received_orders) = mpsc::channel(ORDER_BACKLOG);
+        parts.spawn(
+            "the operators' orders to the actor",
+            forward(received_orders, inputs.clone(), Input::Operator),
+        );
         parts.spawn_vital(
             "the operators' orders",
-            operator::follow_orders(store, freshness, inputs.clone()),
+            operator::follow_orders(store, freshness, table, orders),
         );
         monitor(&settings, &statuses, &mut parts).await?;
         let is_leaving = Arc::new(AtomicBool::new(false));
@@ -238,7 +248,7 @@
 
 fn create_actor(
     mesh: Mesh,
-    table: watch::Sender<Option<Arc<RouteTable>>>,
+    table: SharedTable,
     newest_version: Arc<AtomicU64>,
     status: watch::Sender<Status>,
     store: Store,
--- /dev/null
+++ b/crates/cassiarock-dispatch/tests/operator.rs
@@ -0,0 +1,90 @@
+//! How the operators' orders get from the store into force.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+#![allow(dead_code, reason = "the modules of the entry are used in part")]
+
+#[path = "../src/follow.rs"]
+mod follow;
+#[path = "../src/freshness.rs"]
+mod freshness;
+#[path = "../src/operator.rs"]
+mod operator;
+#[path = "../src/route_table.rs"]
+mod route_table;
+
+use cassiarock_adapter::Store;
+use cassiarock_process::Clock;
+use cassiarock_test_support::log::Stand;
+use freshness::SharedFreshness;
+use operator::{Update, follow_orders};
+use route_table::SharedTable;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+/// What operators allow for a change to be in force.
+const IN_FORCE: Duration = Duration::from_secs(2);
+
+fn publish(stand: &Stand, version: u64) {
+    let text = format!(
+        r#"{{"version":{version},"routes":[{{"name":"r","host":"a.example","pathPrefix":"/v{version}/","service":"s"}}]}}"#
+    );
+    stand.put("keyed.op", [&[6][..], b"config", text.as_bytes()].concat());
+}
+
+// Under load, an entry read a configuration and put it in force seconds later, when its actor had
+// handled the calls and messages before it. Its callers were told meanwhile that new routes do
+// not exist.
+#[tokio::test]
+async fn a_configuration_is_in_force_while_the_actor_is_behind() {
+    let stand = Stand::start().await.unwrap();
+    let table = SharedTable::new();
+    let mut tables = table.subscribe();
+    let (updates, mut received) = mpsc::channel(1);
+    let freshness = SharedFreshness::new(Clock::new());
+    let store = Store::new(stand.url()).unwrap();
+    tokio::spawn(follow_orders(store, freshness, table, updates));
+    for version in 1..6 {
+        publish(&stand, version);
+        let has_version = tables.wait_for(|table| {
+            let table = table.as_ref();
+            table.is_some_and(|table| table.version == version)
+        });
+        timeout(IN_FORCE, has_version).await.unwrap().unwrap();
+    }
+    // The actor gets the newest one when it goes on.
+    let newest = async {
+        loop {
+            if let Some(Update::Configuration(5, _)) = received.recv().await {
+                return;
+            }
+        }
+    };
+    timeout(IN_FORCE, newest).await.unwrap();
+}
+
+#[tokio::test]
+async fn a_configuration_that_is_older_or_cannot_be_decoded_is_not_taken() {
+    let stand = Stand::start().await.unwrap();
+    let table = SharedTable::new();
+    let mut tables = table.subscribe();
+    let (updates, _received) = mpsc::channel(8);
+    let freshness = SharedFreshness::new(Clock::new());
+    let store = Store::new(stand.url()).unwrap();
+    tokio::spawn(follow_orders(store, freshness, table.clone(), updates));
+    publish(&stand, 4);
+    timeout(IN_FORCE, tables.wait_for(Option::is_some))
+        .await
+        .unwrap()
+        .unwrap();
+    publish(&stand, 3);
+    stand.put(
+        "keyed.op",
+        [&[6][..], b"config", b"{\"version\":9"].concat(),
+    );
+    publish(&stand, 5);
+    let has_newest =
+        tables.wait_for(|table| table.as_ref().is_some_and(|table| table.version != 4));
+    timeout(IN_FORCE, has_newest).await.unwrap().unwrap();
+    assert_eq!(table.version(), 5);
+}
