Count a crash for the incarnation that ran the task, also if its successor is known

What callers saw: a task that crashes its upstreams could crash a third one before its job was answered as failed.

Cause: the loss of a task was booked on the upstream that its agent had at the time of the report. If the agent's link was replaced meanwhile, the agent announced the next incarnation first; its room then refuted the crash of the one before.

Fix: the entry keeps the incarnation before the newest one and since when it knows the newest. A task that began before that ran on the earlier one, by the run time that its agent reports. If the report is very late, the newest one counts, as before.

--- a/crates/cassiarock-transient/src/scheduler/agent.rs
+++ b/crates/cassiarock-transient/src/scheduler/agent.rs
@@ -10,7 +10,12 @@
 /// The entry's view of one process of an agent.
 #[derive(Clone, Debug)]
 pub(super) struct Agent {
+    /// The upstream; absent while it is away. Set by [`Self::set_upstream`].
     pub(super) upstream: Option<Upstream>,
+    /// The newest incarnation of the upstream, also while it is away, and since when it is known.
+    newest: Option<(Upstream, Duration)>,
+    /// The incarnation before the newest one.
+    previous: Option<Upstream>,
     pub(super) load: Load,
     pub(super) is_linked: bool,
     pub(super) data_centre: Name,
@@ -41,6 +46,8 @@
     pub(super) fn new(data_centre: Name, now: Duration) -> Self {
         Self {
             upstream: None,
+            newest: None,
+            previous: None,
             load: Load::default(),
             is_linked: true,
             data_centre,
@@ -67,6 +74,36 @@
         self.free = Resources::default();
     }
 
+    /// Takes over what the agent says about its upstream.
+    pub(super) fn set_upstream(&mut self, upstream: Option<Upstream>, now: Duration) {
+        if let Some(present) = &upstream {
+            let known = self.newest.take();
+            let is_same = known.as_ref().is_some_and(|(newest, _)| {
+                !present.incarnation().differs_from(&newest.incarnation())
+            });
+            let known_since = match known {
+                Some((_, since)) if is_same => since,
+                Some((newest, _)) => {
+                    self.previous = Some(newest);
+                    now
+                }
+                None => now,
+            };
+            self.newest = Some((present.clone(), known_since));
+        }
+        self.upstream = upstream;
+    }
+
+    /// The incarnation of the upstream that ran a task which began at `began`. Its loss may be
+    /// reported after the next incarnation, if the link was replaced meanwhile.
+    pub(super) fn upstream_at(&self, began: Duration) -> Option<&Upstream> {
+        let is_before = |(_, since): &(Upstream, Duration)| began < *since;
+        if self.newest.as_ref().is_some_and(is_before) && self.previous.is_some() {
+            return self.previous.as_ref();
+        }
+        self.upstream.as_ref()
+    }
+
     /// Takes over a reported load.
     pub(super) fn update(&mut self, load: Load) {
         self.load = load;
--- a/crates/cassiarock-transient/src/scheduler/endings.rs
+++ b/crates/cassiarock-transient/src/scheduler/endings.rs
@@ -74,8 +74,9 @@
         actions: &mut Vec<Action>,
     ) {
         let number = ending.attempt.number;
+        let began = now.saturating_sub(ending.ran);
         let upstream = self.agents.get(from);
-        let upstream = upstream.and_then(|agent| agent.upstream.as_ref());
+        let upstream = upstream.and_then(|agent| agent.upstream_at(began));
         // An upstream that leaves was not crashed by its tasks.
         let staying = upstream.filter(|upstream| !upstream.is_leaving);
         let lost = staying.map(Upstream::incarnation);
--- a/crates/cassiarock-transient/src/scheduler/link.rs
+++ b/crates/cassiarock-transient/src/scheduler/link.rs
@@ -78,7 +78,7 @@
                 if let Some(upstream) = &upstream {
                     self.upstream_kinds.add(upstream);
                 }
-                agent.upstream = upstream;
+                agent.set_upstream(upstream, now);
             }
             Message::Ended {
                 clock,
--- a/crates/cassiarock-transient/tests/scheduler/crashes.rs
+++ b/crates/cassiarock-transient/tests/scheduler/crashes.rs
@@ -455,28 +455,51 @@
         harness.scheduler.unlink(&lost);
         harness.scheduler.link(&lost, &"dc".into(), harness.now);
         harness.announce(&lost, &format!("u-new-{round}"), false);
-        let held = harness.placed.iter().map(|t| t.attempt).collect();
-        harness.deliver(&lost, Message::Held(held));
-        let at = harness.placed.remove(0);
-        let result = AttemptResult {
-            attempt: at.attempt,
-            outcome: Outcome::Crashed,
-            ran: ms(10),
-        };
-        harness.deliver(
-            &lost,
-            Message::Ended {
-                clock: u64::try_from(harness.now.as_millis()).unwrap(),
-                results: vec![result],
-                load: Load {
-                    free: CAPACITY,
-                    slowdown_percent: 100,
-                    ..Load::default()
-                },
-            },
-        );
-        harness.heartbeat_of(&lost, CAPACITY);
-        harness.advance(600);
+        report_late_loss(&mut harness, &lost);
     }
     assert_eq!(harness.answer(1), Some(Answer::Failed));
 }
+
+// An upstream left as announced with a task on it, and its loss was reported after its successor was
+// announced.
+#[test]
+fn the_loss_of_an_upstream_that_left_is_no_crash_if_its_successor_is_known() {
+    let mut harness = Harness::new(6);
+    harness.submit(1, 1, 2_000, 20_000);
+    for round in 0..2 {
+        let lost = agent_of(&harness, 1).unwrap();
+        let id = format!("u-{}", lost.name);
+        harness.announce(&lost, &id, true);
+        harness.scheduler.unlink(&lost);
+        harness.scheduler.link(&lost, &"dc".into(), harness.now);
+        harness.announce(&lost, &format!("u-new-{round}"), false);
+        report_late_loss(&mut harness, &lost);
+    }
+    assert_eq!(harness.answer(1), None);
+}
+
+/// Reports over a new link that the only task was lost just before the present upstream started.
+fn report_late_loss(harness: &mut Harness, agent: &Process) {
+    let held = harness.placed.iter().map(|t| t.attempt).collect();
+    harness.deliver(agent, Message::Held(held));
+    let at = harness.placed.remove(0);
+    let result = AttemptResult {
+        attempt: at.attempt,
+        outcome: Outcome::Crashed,
+        ran: ms(10),
+    };
+    harness.deliver(
+        agent,
+        Message::Ended {
+            clock: u64::try_from(harness.now.as_millis()).unwrap(),
+            results: vec![result],
+            load: Load {
+                free: CAPACITY,
+                slowdown_percent: 100,
+                ..Load::default()
+            },
+        },
+    );
+    harness.heartbeat_of(agent, CAPACITY);
+    harness.advance(600);
+}
