Call no job impossible in the first ten seconds of an entry

What callers saw: `failed`, final, for a job whose upstreams were away when its entry started. They take that for a fault of their own and do not come back.

Cause: an entry compares a job with the kinds of upstream that it has seen, and from its second second on it took these for all there are.

Fix: within ten seconds of its start, in which upstreams that crashed or are replaced come back, an entry refuses such a job at once with Retry-After: not run.

The test that an impossible job fails at once asked that of an entry in its first second, which contradicts it: what the entry knows is the same in both. It asks it now after the ten seconds, and a new test that the job is refused at once before.

--- a/crates/cassiarock-transient/src/scheduler/admit.rs
+++ b/crates/cassiarock-transient/src/scheduler/admit.rs
@@ -18,6 +18,10 @@
 /// all be refused.
 const STARTUP_GRACE: Duration = Duration::from_secs(1);
 
+/// How long after its start a process does not call a job impossible, because upstreams that it fits
+/// may be away. One that has crashed or is being replaced is back within this time.
+const KINDS_GRACE: Duration = Duration::from_secs(10);
+
 /// The least pause for a caller whose job no present upstream can run. One is expected back within
 /// this time.
 const RETRY_AFTER_NO_UPSTREAM: Duration = Duration::from_secs(2);
@@ -59,9 +63,14 @@
             if now < STARTUP_GRACE {
                 return admit_at_startup();
             }
-            if self.upstream_kinds.has_room_for(service, &stage.demand) {
-                let decision =
-                    decision("refused").with("reason", "the upstreams that it fits are away");
+            let is_known = self.upstream_kinds.has_room_for(service, &stage.demand);
+            if is_known || now < KINDS_GRACE {
+                let reason = if is_known {
+                    "the upstreams that it fits are away"
+                } else {
+                    "the upstreams that it fits may be away"
+                };
+                let decision = decision("refused").with("reason", reason);
                 return Err(self.refused_without_upstream(with_demand(decision)));
             }
             return Err((Answer::Failed, with_demand(decision("impossible"))));
--- a/crates/cassiarock-transient/tests/scheduler/answers.rs
+++ b/crates/cassiarock-transient/tests/scheduler/answers.rs
@@ -82,10 +82,30 @@
 #[test]
 fn a_job_that_no_upstream_has_capacity_for_fails_at_once() {
     let mut harness = Harness::new(2);
+    harness.advance(LEARNING);
     submit_large(&mut harness, 1);
     assert_eq!(harness.answer(1), Some(Answer::Failed));
 }
 
+// Until an entry has seen all kinds of upstream, a caller whose job fits none of them hears at once
+// that it did not run.
+#[test]
+fn a_job_that_fits_no_upstream_seen_since_the_start_is_refused_at_once() {
+    let mut harness = Harness::new(2);
+    submit_large(&mut harness, 1);
+    let answer = harness.answer(1);
+    assert!(
+        matches!(
+            answer,
+            Some(Answer::Refused {
+                is_overload: false,
+                ..
+            })
+        ),
+        "{answer:?}"
+    );
+}
+
 // After a power loss all processes start at once, and the waiting callers submit their jobs. An
 // entry that knew no agent yet refused them all, 200 ms before the agents were linked.
 #[test]
@@ -143,6 +163,9 @@
     );
 }
 
+/// How long an entry learns which kinds of upstream there are, in milliseconds.
+const LEARNING: u64 = 10_000;
+
 /// Submits a job of one task that is larger than the capacity of the usual upstream.
 fn submit_large(harness: &mut Harness, number: u64) {
     let mut job = crate::harness::job(number, 1, 50);
