--- a/crates/cassiarock-transient/tests/extremes.rs
+++ b/crates/cassiarock-transient/tests/extremes.rs
@@ -10,7 +10,7 @@
     Attempt, AttemptResult, CapacityRequest, Load, Order, Outcome, Start, Upstream,
 };
 use cassiarock_transient::{
-    Host, Incarnation, Job, JobClass, Message, Resources, Scheduler, Stage, scheduler,
+    Host, Incarnation, Job, JobClass, Message, Resources, Scheduler, Stage, freshness, scheduler,
 };
 use proptest::collection::vec;
 use proptest::prelude::*;
@@ -95,6 +95,11 @@
         )
 }
 
+fn report() -> impl Strategy<Value = Option<freshness::Report>> {
+    let report = any::<(u32, u8)>();
+    proptest::option::of(report.prop_map(|(age_ms, hops)| freshness::Report { age_ms, hops }))
+}
+
 fn request() -> impl Strategy<Value = Option<CapacityRequest>> {
     let request = (
         any::<(bool, bool, bool, u32)>(),
@@ -166,11 +171,13 @@
         }),
         vec(attempt(), 0..6).prop_map(Message::Held),
         vec(attempt(), 0..6).prop_map(Message::Halt),
-        (edge(), edge(), request()).prop_map(|(echo, version, ask)| Message::EntryHeartbeat {
-            echo,
-            version,
-            ask,
-            freshness: None
+        (edge(), edge(), request(), report()).prop_map(|(echo, version, ask, freshness)| {
+            Message::EntryHeartbeat {
+                echo,
+                version,
+                ask,
+                freshness,
+            }
         }),
         (edge(), edge(), vec(order(), 0..4), request()).prop_map(|(serial, echo, orders, ask)| {
             Message::Orders {
--- a/crates/cassiarock-wire/tests/codec.rs
+++ b/crates/cassiarock-wire/tests/codec.rs
@@ -3,6 +3,8 @@
 use cassiarock_claim::Ballot;
 use cassiarock_id::{Job, Process, Task, Wall};
 use cassiarock_policy::load::SlotDemand;
+use cassiarock_transient::Message;
+use cassiarock_transient::freshness::Report;
 use cassiarock_wire::{Frame, Run, TaskStart, decode, encode};
 use yare::parameterized;
 
@@ -30,10 +32,33 @@
     }
 }
 
+fn heartbeat(freshness: Option<Report>) -> Frame {
+    Frame::Transient(Message::EntryHeartbeat {
+        echo: 1,
+        version: 2,
+        ask: None,
+        freshness,
+    })
+}
+
+// During an upgrade, entries of the build before send heartbeats without the field, and read ones with it.
+#[test]
+fn a_heartbeat_without_freshness_is_what_older_builds_send() {
+    let with_freshness = encode(&heartbeat(Some(Report { age_ms: 0, hops: 0 }))).unwrap();
+    let name = b"freshness";
+    let has_name = |bytes: &[u8]| bytes.windows(name.len()).any(|part| part == name);
+    assert!(has_name(&with_freshness));
+    let without = encode(&heartbeat(None)).unwrap();
+    assert!(!has_name(&without));
+    assert_eq!(decode(&without).unwrap(), heartbeat(None));
+}
+
 #[parameterized(
     leaving = { Frame::Leaving },
     demand = { Frame::Demand(SlotDemand::default()) },
     run = { start() },
+    entry_heartbeat = { heartbeat(None) },
+    fresh_entry_heartbeat = { heartbeat(Some(Report { age_ms: 250, hops: 2 })) },
 )]
 fn a_decoded_frame_equals_the_encoded_one(frame: Frame) {
     let bytes = encode(&frame).unwrap();
