--- a/tests/platform/configuration_soak.rs
+++ b/tests/platform/configuration_soak.rs
@@ -12,9 +12,15 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-/// Seeds of a run in CI.
+/// Seeds of a run in CI. Those that ever failed are added to `FOUND`.
 const SHORT: std::ops::Range<u64> = 1..4;
 
+/// Seeds that showed a fault, each with its cause.
+const FOUND: [u64; 3] = [
+    // The waiting reads of all entries were lost at once, and given up 23 s later.
+    11, 17, 44,
+];
+
 const ENTRIES: usize = 3;
 
 /// What operators allow for a change to be in force at an entry that has been undisturbed for
@@ -58,15 +64,20 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn configurations_are_in_force_in_time_under_random_faults() {
-    let range = std::env::var("CONFIGURATION_SOAK").ok().and_then(|text| {
-        let (first, last) = text.split_once("..")?;
-        Some(first.parse().ok()?..last.parse().ok()?)
-    });
+    let range: Option<std::ops::Range<u64>> =
+        std::env::var("CONFIGURATION_SOAK").ok().and_then(|text| {
+            let (first, last) = text.split_once("..")?;
+            Some(first.parse().ok()?..last.parse().ok()?)
+        });
     let entries = std::env::var("CONFIGURATION_SOAK_ENTRIES").ok();
     let entries = entries
         .and_then(|text| text.parse().ok())
         .unwrap_or(ENTRIES);
-    for seed in range.unwrap_or(SHORT) {
+    let seeds: Vec<u64> = match range {
+        Some(range) => range.collect(),
+        None => FOUND.into_iter().chain(SHORT).collect(),
+    };
+    for seed in seeds {
         play(seed, entries).await;
     }
 }
