--- a/crates/cassiarock-dispatch/src/run/entry.rs
+++ b/crates/cassiarock-dispatch/src/run/entry.rs
@@ -125,7 +125,8 @@
             newest_version.clone(),
             status,
             store.clone(),
-            (clock, freshness.clone()),
+            clock,
+            freshness.clone(),
         ));
 
         let mut parts = Parts::default();
@@ -252,7 +253,8 @@
     newest_version: Arc<AtomicU64>,
     status: watch::Sender<Status>,
     store: Store,
-    (clock, freshness): (Clock, SharedFreshness),
+    clock: Clock,
+    freshness: SharedFreshness,
 ) -> Entry {
     Entry {
         scheduler: Scheduler::new(),
