Compare an upstream's run times only with upstreams that have run tasks

What callers saw: while agents were replaced one after the other, a job of twelve tasks took 20 s instead of 0.6 s, or missed its deadline. One entry placed its tasks one at a time at an idle agent, with gaps of 5 and 10 s.

Cause: the monitor of upstreams took those that had run nothing for ones of normal speed. Agents that have just been replaced count as new, so that after three of four replacements the median was that of unknown ones, and the only agent with outcomes seemed eight times slower, because the tasks of the kind had become longer than learned. It lost its share by halves and was then paused for 5 s, 10 s. Class: as this incident's, nothing known taken for something known.

Evidence: a debug log of a slow run: the gaps are the pauses of the monitor (5 s, then twice that), and the other entry used the same agent meanwhile.

Fix: the median is that of upstreams with three outcomes or more.

--- a/crates/cassiarock-policy/src/health/monitor.rs
+++ b/crates/cassiarock-policy/src/health/monitor.rs
@@ -121,7 +121,7 @@
 
     /// The faulty upstreams, the most severe fault first.
     fn faults(&self) -> Vec<Fault> {
-        let median_slowness = median(self.records.values().map(|record| record.slowness));
+        let median_slowness = self.median_slowness();
         let median_failure_rate = median(self.records.values().map(|record| record.failure_rate));
         let records = self.records.iter();
         let candidates = records.filter(|(_, record)| {
@@ -143,10 +143,18 @@
         faults
     }
 
+    /// The median slowness of the upstreams that have run some tasks. It is not known whether the
+    /// others are slow.
+    fn median_slowness(&self) -> f64 {
+        let records = self.records.values();
+        let known = records.filter(|record| record.is_known());
+        median(known.map(|record| record.slowness))
+    }
+
     /// Raises the shares of upstreams that are clearly healthy. Between healthy and faulty a
     /// share stays as it is, since it would otherwise oscillate with the noise.
     fn raise_healthy(&mut self, faults: &[Fault], now: Duration) {
-        let median = median(self.records.values().map(|record| record.slowness));
+        let median = self.median_slowness();
         let healthy_below = self.settings.straggler_factor.ln() / 2.0;
         for (agent, record) in &mut self.records {
             let is_faulty = faults.iter().any(|fault| fault.agent == *agent);
--- a/crates/cassiarock-policy/src/health/record.rs
+++ b/crates/cassiarock-policy/src/health/record.rs
@@ -27,7 +27,8 @@
 /// The smallest share above zero: one slot of eight.
 pub(super) const TRIAL_SHARE: f64 = 0.125;
 
-/// Outcomes needed to evaluate an upstream that has lost part of its share.
+/// Outcomes needed to evaluate an upstream that has lost part of its share, or to compare others
+/// with it.
 const MIN_SAMPLES_REDUCED: u32 = 3;
 
 /// Outcomes of one upstream, and the share of its slots that it gets.
@@ -81,6 +82,11 @@
         }
     }
 
+    /// Whether enough tasks have ended since the record began to compare others with it.
+    pub(super) const fn is_known(&self) -> bool {
+        self.outcomes >= MIN_SAMPLES_REDUCED
+    }
+
     /// How much [`Self::lower`] takes away.
     pub(super) fn next_reduction(&self, at_once: bool) -> f64 {
         if self.share <= TRIAL_SHARE || at_once {
--- a/crates/cassiarock-policy/tests/health.rs
+++ b/crates/cassiarock-policy/tests/health.rs
@@ -93,3 +93,17 @@
     }
     assert!(shares.iter().all(|share| *share < 0.2), "{shares:?}");
 }
+
+// All agents but one had just been replaced when the run times of a kind of task changed. The only one
+// with outcomes was taken for slow and not used for seconds, though it was idle.
+#[test]
+fn an_upstream_is_not_slow_compared_with_upstreams_that_have_run_nothing() {
+    let mut monitor = monitor();
+    for second in 0..4 {
+        for _ in 0..20 {
+            monitor.record(&agent(3), Outcome::Done { slowness: 8.0 });
+        }
+        monitor.evaluate(Duration::from_secs(second));
+    }
+    assert_eq!(withheld(&monitor), 0.0);
+}
