--- a/crates/cassiarock-dispatch/src/entry/links.rs
+++ b/crates/cassiarock-dispatch/src/entry/links.rs
@@ -3,6 +3,7 @@
 use super::Entry;
 use crate::compression::decompress;
 use crate::links::send;
+use crate::operator::ignore_configuration;
 use cassiarock_id::Process;
 use cassiarock_peer::Event;
 use cassiarock_transient::directory::{ApplyResult, Endpoint};
@@ -75,7 +76,10 @@
                 {
                     self.freshness.record_report(report);
                 }
-                self.newest_version.fetch_max(version, Ordering::Relaxed);
+                let newest = self.newest_version.fetch_max(version, Ordering::Relaxed);
+                if version > newest.max(self.table.version()) {
+                    log::info!(dependency:% = peer.process, version = version, before = self.table.version(); "newer configuration heard of");
+                }
                 let is_sending = self.store.is_receiving();
                 let before = self.table.version();
                 if version > before && self.lag.should_ask(&peer.process, is_sending, now) {
@@ -95,9 +99,7 @@
                         let age = now.saturating_sub(asked_at);
                         self.apply_copy(&text, age);
                     }
-                    Err(error) => {
-                        log::warn!(from:% = peer.process; "configuration ignored: {error}");
-                    }
+                    Err(error) => ignore_configuration("another entry", &error),
                 }
                 Vec::new()
             }
--- a/crates/cassiarock-dispatch/src/entry/orders.rs
+++ b/crates/cassiarock-dispatch/src/entry/orders.rs
@@ -3,7 +3,7 @@
 use super::Entry;
 use crate::compression::compress;
 use crate::links::send;
-use crate::operator::Update;
+use crate::operator::{Update, ignore_configuration};
 use cassiarock_adapter::configuration;
 use cassiarock_id::{Name, Process, Wall};
 use cassiarock_transient::{Message, evacuation};
@@ -59,10 +59,11 @@
         match configuration::decode(text) {
             Ok(table) => {
                 let version = table.version;
-                self.table.adopt(table, "another entry", age);
+                let unproved = self.freshness.age();
+                self.table.adopt(table, "another entry", age, unproved);
                 self.set_configuration(version, text);
             }
-            Err(error) => log::warn!(from = "another entry"; "configuration ignored: {error}"),
+            Err(error) => ignore_configuration("another entry", &error),
         }
     }
 
--- a/crates/cassiarock-dispatch/src/entry/report.rs
+++ b/crates/cassiarock-dispatch/src/entry/report.rs
@@ -49,6 +49,9 @@
         let (jobs, links, version) = (self.scheduler.job_count(), self.links.len(), self.version());
         metrics::gauge!("cassiarock_jobs").set(jobs as f64);
         metrics::gauge!("cassiarock_agents_open").set(open as f64);
+        if let Some(age) = self.freshness.age() {
+            metrics::gauge!("cassiarock_orders_unproved_seconds").set(age);
+        }
         self.status.send_if_modified(|status| {
             let before = status.clone();
             status.ready = ready && !status.leaving;
--- a/crates/cassiarock-dispatch/src/freshness.rs
+++ b/crates/cassiarock-dispatch/src/freshness.rs
@@ -31,6 +31,11 @@
         self.state.borrow().report(self.now())
     }
 
+    /// The age of the newest proof.
+    pub(crate) fn age(&self) -> Option<Duration> {
+        self.state.borrow().age(self.now())
+    }
+
     /// Records the report of another entry that has the same orders in force.
     pub(crate) fn record_report(&self, report: Report) {
         let now = self.now();
--- a/crates/cassiarock-dispatch/src/operator.rs
+++ b/crates/cassiarock-dispatch/src/operator.rs
@@ -39,13 +39,14 @@
 }
 
 impl OperatorOrders {
-    fn apply(&mut self, event: TopicEvent<'_>, table: &SharedTable) {
+    /// `unproved` is for how long it has not been proved that the entry lacks no order.
+    fn apply(&mut self, event: TopicEvent<'_>, table: &SharedTable, unproved: Option<Duration>) {
         match event {
             TopicEvent::Newest(records, end) => {
                 let mut evacuated = Vec::new();
                 for order in records.iter().filter_map(Order::from_record) {
                     match order {
-                        Order::Configuration(text) => self.configure(text, table),
+                        Order::Configuration(text) => self.configure(text, table, unproved),
                         Order::Evacuate(data_centre) => evacuated.push(data_centre),
                         Order::Restore(_) => {}
                     }
@@ -53,7 +54,7 @@
                 self.evacuations = evacuation::State::new(end, evacuated);
             }
             TopicEvent::Record(offset, key, value) => match Order::decode(key, value) {
-                Some(Order::Configuration(text)) => self.configure(text, table),
+                Some(Order::Configuration(text)) => self.configure(text, table, unproved),
                 Some(Order::Evacuate(data_centre)) => {
                     self.evacuations.apply(offset, data_centre, true)
                 }
@@ -68,18 +69,24 @@
 
     /// Puts the configuration's route table in force at once. In the queue to the actor it would
     /// wait behind calls and messages, and callers would be told that a new route does not exist.
-    fn configure(&mut self, text: Name, table: &SharedTable) {
+    fn configure(&mut self, text: Name, table: &SharedTable, unproved: Option<Duration>) {
         let read_at = Instant::now();
         match configuration::decode(&text) {
             Ok(routes) => {
                 self.configuration = Some((routes.version, text));
-                table.adopt(routes, "the store", read_at.elapsed());
+                table.adopt(routes, "the store", read_at.elapsed(), unproved);
             }
-            Err(error) => log::warn!(from = "the store"; "configuration ignored: {error}"),
+            Err(error) => ignore_configuration("the store", &error),
         }
     }
 }
 
+/// Logs a configuration that cannot be decoded. The one before it stays in force.
+pub(crate) fn ignore_configuration(from: &'static str, error: &dyn std::error::Error) {
+    log::warn!(from = from; "configuration ignored: {error}");
+    metrics::counter!("cassiarock_configurations_ignored_total", "from" => from).increment(1);
+}
+
 /// Puts the route tables of configurations in force as they are read, and passes all orders to the
 /// entry's actor, until the process ends. An actor that is behind gets only the newest orders, but
 /// always those.
@@ -90,8 +97,10 @@
     updates: mpsc::Sender<Update>,
 ) {
     let (known, changes) = watch::channel(OperatorOrders::default());
-    let following = follow(store, SUBSCRIPTION, Pace::Fresh(freshness), |event| {
-        known.send_modify(|orders| orders.apply(event, &table));
+    let pace = Pace::Fresh(freshness.clone());
+    let following = follow(store, SUBSCRIPTION, pace, |event| {
+        let unproved = freshness.age();
+        known.send_modify(|orders| orders.apply(event, &table, unproved));
     });
     tokio::join!(following, forward(changes, updates));
 }
--- a/crates/cassiarock-dispatch/src/route_table.rs
+++ b/crates/cassiarock-dispatch/src/route_table.rs
@@ -25,14 +25,22 @@
     }
 
     /// Puts `table` in force unless the one in force is as new. `age` is the time since it was read
-    /// from the store, or since another entry was asked for it.
-    pub(crate) fn adopt(&self, table: RouteTable, from: &'static str, age: Duration) -> bool {
+    /// from the store, or since another entry was asked for it; `unproved` is for how long it had
+    /// not been proved that this entry lacks no order.
+    pub(crate) fn adopt(
+        &self,
+        table: RouteTable,
+        from: &'static str,
+        age: Duration,
+        unproved: Option<Duration>,
+    ) -> bool {
         let (version, before, routes) = (table.version, self.version(), table.len());
         if version <= before {
             return false;
         }
         self.0.send_replace(Some(Arc::new(table)));
-        log::info!(version = version, before = before, routes = routes, from = from, age_ms = age.as_millis(); "configuration in force");
+        let unproved_ms = unproved.map(|age| age.as_millis() as u64);
+        log::info!(version = version, before = before, routes = routes, from = from, age_ms = age.as_millis(), unproved_ms:? = unproved_ms; "configuration in force");
         metrics::gauge!("cassiarock_configuration_version").set(version as f64);
         metrics::histogram!("cassiarock_configuration_age_seconds", "from" => from).record(age);
         true
--- a/crates/cassiarock-transient/src/scheduler/admit.rs
+++ b/crates/cassiarock-transient/src/scheduler/admit.rs
@@ -95,7 +95,6 @@
                 .with("chain_ms", active.critical_path.as_millis())
                 .with("queue", self.queue.len())
                 .with("free_cpu", free_cpu)
-                .with("version", active.class.version)
         };
         if self.ends_before(expected_end) {
             let decision = decision("refused").with("reason", shutdown::REASON);
--- a/crates/cassiarock-transient/src/scheduler/mod.rs
+++ b/crates/cassiarock-transient/src/scheduler/mod.rs
@@ -329,6 +329,7 @@
 fn job_decision(kind: &'static str, active: &ActiveJob, now: Duration) -> Decision {
     Decision::new(kind, active.job.request.clone(), active.job.id.clone())
         .with("route", &active.class.route)
+        .with("version", active.class.version)
         .with("age_ms", now.saturating_sub(active.arrived).as_millis())
         .with(
             "left_ms",
