Test the first seconds after an outage in which the store forgot all calls (known red)

Callers: entries go on by an old configuration after the store is back, for longer than the 3 s after which the bound of 2 s holds again.

The store swallows all calls for 4.7 s (one entry) or 5.6 s (three linked entries), answers again, and a configuration is published a second later.

--- a/tests/platform/store_path.rs
+++ b/tests/platform/store_path.rs
@@ -48,3 +48,45 @@
     let late = lateness_after_silence(3).await;
     assert_eq!(late, [Duration::ZERO; 3]);
 }
+
+/// How long entries run until one of them reads with short waits.
+const SETTLED: Duration = Duration::from_secs(3);
+
+/// Swallows all calls of all entries to the store for `outage`, and gives how late each entry has a
+/// configuration that is published `CONTACT - IN_FORCE` after its end, when the bound holds again.
+async fn lateness_after_outage(entries: usize, outage: Duration) -> Vec<Duration> {
+    let mut site = Site::start_entries(entries).await;
+    for entry in &site.entries {
+        has_version(entry, 1, START).await;
+    }
+    tokio::time::sleep(SETTLED).await;
+    let set_silent = |is_silent| {
+        for entry in &site.entries {
+            entry.door.with_fault(|store| store.silent = is_silent);
+        }
+    };
+    set_silent(true);
+    tokio::time::sleep(outage).await;
+    set_silent(false);
+    let ended = Instant::now();
+    tokio::time::sleep(CONTACT - IN_FORCE).await;
+    let version = site.configure_queues(2);
+    let mut late = Vec::new();
+    for entry in &site.entries {
+        has_version(entry, version, Duration::from_secs(30)).await;
+        late.push(ended.elapsed().saturating_sub(CONTACT));
+    }
+    late
+}
+
+#[tokio::test]
+async fn an_entry_alone_has_a_configuration_in_time_after_a_store_forgot_its_calls() {
+    let late = lateness_after_outage(1, Duration::from_millis(4_700)).await;
+    assert_eq!(late, [Duration::ZERO; 1]);
+}
+
+#[tokio::test]
+async fn all_entries_have_a_configuration_in_time_after_a_store_forgot_their_calls() {
+    let late = lateness_after_outage(3, Duration::from_millis(5_600)).await;
+    assert_eq!(late, [Duration::ZERO; 3]);
+}
