Repeat an unanswered read of the store beside its earlier attempts

Callers: after an outage in which the store forgot the calls that it had received, all entries went on by the configuration from before it, up to 4.6 s after its end, where 3 s are allowed: dropped routes were served ("handled by version 17 or older"), added ones got 404.

Cause: the attempt that was to find out that the store is back was a single one, its time limit doubled after each failure up to 4 s, and a pause of up to 1 s came on top. The limit was long so that a slow store is not shut out; but it also was the time for which nobody asked again. All entries do the same at once, so none had a copy to give.

Fix: reads are repeated 0.5 s after the first attempt and then each second, while each attempt may still take 4 s; the first answer counts. How long a slow answer is waited for no longer decides how soon the store is asked again.

--- a/crates/cassiarock-dispatch/src/follow.rs
+++ b/crates/cassiarock-dispatch/src/follow.rs
@@ -1,20 +1,15 @@
 //! Follows a keyed topic of the platform's store.
 
-use crate::freshness::SharedFreshness;
-use cassiarock_adapter::store::{KeyedRecord, Partition, decode_keyed};
+use crate::freshness::{RECEIVING_CHECK, SharedFreshness};
+use cassiarock_adapter::store::{Batch, KeyedRecord, Partition, decode_keyed};
 use cassiarock_adapter::{Error, Store};
 use cassiarock_platform::follow::Backoff;
 use cassiarock_transient::freshness::LONG_WAIT;
+use cassiarock_transient::hedge;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use std::time::Duration;
-use tokio::time::{Instant, sleep};
-
-/// How long the answer to a read may take beyond the time that the read waits for a record. The
-/// store answers within 10 ms, or 300 ms when it is slow. Doubled after each failure, for a store
-/// that is slower still.
-const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
-
-/// The longest such time.
-const MAX_ANSWER_TIMEOUT: Duration = Duration::from_secs(4);
+use tokio::time::{Instant, sleep, sleep_until};
 
 /// A topic to follow, and how to read it.
 #[derive(Clone, Copy, Debug)]
@@ -90,22 +85,25 @@
     pace: Pace,
     mut on_event: impl FnMut(TopicEvent<'_>),
 ) {
+    let store = store.with_timeout(hedge::ATTEMPT_TIMEOUT);
     let topic = subscription.topic;
     let mut backoff = Backoff::default();
     let mut next = None;
-    let mut lost_since: Option<Instant> = None;
-    let mut answer_timeout = ANSWER_TIMEOUT;
+    let mut outage = Outage::new(topic);
     loop {
         let started_at = Instant::now();
         // After a failure, an answer shows at once that the store is back.
-        let wait = if lost_since.is_some() {
+        let wait = if outage.is_open() {
             Duration::ZERO
         } else {
             pace.read_wait()
         };
-        let store = store.clone().with_timeout(answer_timeout);
+        let on_silence = |attempts| {
+            outage.record_silence(attempts, started_at);
+            pace.record_failure();
+        };
         let read = tokio::select! {
-            read = read_once(&store, subscription, next, wait, &mut on_event) => read,
+            read = read_hedged(&store, subscription, next, wait, on_silence) => read,
             age = pace.overdue(&store) => {
                 log::info!(topic = topic, waited_ms = started_at.elapsed().as_millis() as u64, unproved_ms = age.as_millis() as u64; "read replaced");
                 metrics::counter!("cassiarock_store_reads_replaced_total", "topic" => topic).increment(1);
@@ -114,31 +112,22 @@
             }
         };
         match read {
-            Ok(read) => {
+            Ok(answer) => {
+                let read = answer.report(next, subscription, &mut on_event);
                 next = read.next;
                 backoff.record_success();
-                answer_timeout = ANSWER_TIMEOUT;
                 // Otherwise there are records that have not been read yet.
                 if next.is_some() {
                     pace.record_answer();
                 }
-                if let Some(since) = lost_since.take() {
-                    let away_ms = since.elapsed().as_millis() as u64;
-                    log::info!(dependency = "store", topic = topic, away_ms = away_ms; "regained");
-                }
+                outage.end();
                 if !read.is_empty {
                     sleep(subscription.pause).await;
                 }
             }
             Err(error) => {
-                if lost_since.is_none() {
-                    lost_since = Some(Instant::now());
-                    let waited_ms = started_at.elapsed().as_millis() as u64;
-                    log::warn!(dependency = "store", topic = topic, waited_ms = waited_ms; "lost: {error}");
-                }
-                metrics::counter!("cassiarock_store_errors_total", "topic" => topic).increment(1);
+                outage.record_failure(&error, started_at);
                 pace.record_failure();
-                answer_timeout = (answer_timeout * 2).min(MAX_ANSWER_TIMEOUT);
                 let wait = backoff.record_failure(rand::random());
                 sleep(wait.min(MAX_RETRY_PAUSE)).await;
             }
@@ -150,6 +139,94 @@
 /// when the store has just become reachable again.
 const MAX_RETRY_PAUSE: Duration = Duration::from_secs(1);
 
+/// The time for which the store has not answered reads of a topic, for the log.
+struct Outage {
+    topic: &'static str,
+    since: Option<Instant>,
+}
+
+impl Outage {
+    const fn new(topic: &'static str) -> Self {
+        Self { topic, since: None }
+    }
+
+    const fn is_open(&self) -> bool {
+        self.since.is_some()
+    }
+
+    /// Records that the latest of `attempts` since `started_at` has not been answered in time.
+    fn record_silence(&mut self, attempts: u32, started_at: Instant) {
+        self.record(&format_args!("{attempts} unanswered"), started_at);
+    }
+
+    fn record_failure(&mut self, error: &Error, started_at: Instant) {
+        self.record(error, started_at);
+    }
+
+    fn record(&mut self, cause: &dyn std::fmt::Display, started_at: Instant) {
+        let topic = self.topic;
+        if self.since.is_none() {
+            self.since = Some(Instant::now());
+            let waited_ms = started_at.elapsed().as_millis() as u64;
+            log::warn!(dependency = "store", topic = topic, waited_ms = waited_ms; "lost: {cause}");
+        }
+        metrics::counter!("cassiarock_store_errors_total", "topic" => topic).increment(1);
+    }
+
+    fn end(&mut self) {
+        if let Some(since) = self.since.take() {
+            let away_ms = since.elapsed().as_millis() as u64;
+            log::info!(dependency = "store", topic = self.topic, away_ms = away_ms; "regained");
+        }
+    }
+}
+
+/// The answer of the store to one read.
+enum Answer {
+    /// The newest record of each key, and where later records begin.
+    Newest(Vec<KeyedRecord>, u64),
+    /// Records from the requested offset on.
+    Batch(Batch),
+    /// The requested records have been deleted.
+    Expired,
+}
+
+impl Answer {
+    /// Reports the answer to a read from `next` on.
+    fn report(
+        &self,
+        next: Option<u64>,
+        subscription: Subscription,
+        on_event: &mut impl FnMut(TopicEvent<'_>),
+    ) -> Read {
+        let batch = match self {
+            Self::Newest(records, end) => {
+                on_event(TopicEvent::Newest(records, *end));
+                return Read::empty(Some(*end));
+            }
+            Self::Batch(batch) => batch,
+            Self::Expired => return Read::empty(None),
+        };
+        // A log that ends before the read offset is a new one.
+        let Some(next) = next.filter(|next| batch.earliest <= *next && *next <= batch.end) else {
+            return Read::empty(None);
+        };
+        for (offset, record) in (next..).zip(&batch.records) {
+            if let Some((key, value)) = decode_keyed(record) {
+                on_event(TopicEvent::Record(offset, key, value));
+            }
+        }
+        on_event(TopicEvent::ReadCompleted);
+        let after = next + batch.records.len() as u64;
+        let is_behind =
+            subscription.skips_to_newest && !batch.records.is_empty() && batch.end > after;
+        Read {
+            next: (!is_behind).then_some(after),
+            is_empty: batch.records.is_empty(),
+        }
+    }
+}
+
 /// The result of one read.
 struct Read {
     /// Where to read next; `None` to read the newest records again.
@@ -167,44 +244,59 @@
     }
 }
 
-/// Reads once, from `next` on, or the newest records if it is `None`.
+/// Reads from `next` on, or the newest records if it is `None`, and repeats the read beside its
+/// unanswered attempts, with a call of `on_silence` before each. The first answer counts; an error
+/// is returned when no other attempt is left.
+async fn read_hedged(
+    store: &Store,
+    subscription: Subscription,
+    next: Option<u64>,
+    wait: Duration,
+    mut on_silence: impl FnMut(u32),
+) -> Result<Answer, Error> {
+    let topic = subscription.topic;
+    let mut sent = 1;
+    let mut attempts = FuturesUnordered::new();
+    attempts.push(read_once(store, subscription, next, wait));
+    let mut repeat_at = Instant::now() + wait + hedge::delay(sent);
+    loop {
+        tokio::select! {
+            Some(result) = attempts.next() => match result {
+                Err(error) if !attempts.is_empty() => {
+                    log::info!(topic = topic, unanswered = attempts.len(); "attempt failed: {error}");
+                }
+                result => return result,
+            },
+            () = sleep_until(repeat_at) => {
+                if store.is_receiving() {
+                    repeat_at = Instant::now() + RECEIVING_CHECK;
+                    continue;
+                }
+                on_silence(sent);
+                attempts.push(read_once(store, subscription, next, Duration::ZERO));
+                sent += 1;
+                repeat_at = Instant::now() + hedge::delay(sent);
+            }
+        }
+    }
+}
+
 async fn read_once(
     store: &Store,
     subscription: Subscription,
     next: Option<u64>,
     wait: Duration,
-    on_event: &mut impl FnMut(TopicEvent<'_>),
-) -> Result<Read, Error> {
-    let Subscription {
-        topic,
-        max_read_kb,
-        skips_to_newest,
-        ..
-    } = subscription;
+) -> Result<Answer, Error> {
+    let topic = subscription.topic;
     let partition = Partition { topic, number: 0 };
     let Some(next) = next else {
         let (records, end) = store.read_newest(partition).await?;
-        on_event(TopicEvent::Newest(&records, end));
-        return Ok(Read::empty(Some(end)));
+        return Ok(Answer::Newest(records, end));
     };
-    match store.read(partition, next, wait, max_read_kb).await {
-        // A log that ends before the read offset is a new one.
-        Ok(batch) if batch.end < next || batch.earliest > next => Ok(Read::empty(None)),
-        Ok(batch) => {
-            for (offset, record) in (next..).zip(&batch.records) {
-                if let Some((key, value)) = decode_keyed(record) {
-                    on_event(TopicEvent::Record(offset, key, value));
-                }
-            }
-            on_event(TopicEvent::ReadCompleted);
-            let after = next + batch.records.len() as u64;
-            let is_behind = skips_to_newest && !batch.records.is_empty() && batch.end > after;
-            Ok(Read {
-                next: (!is_behind).then_some(after),
-                is_empty: batch.records.is_empty(),
-            })
-        }
-        Err(error) if error.is_expired() => Ok(Read::empty(None)),
+    let read = store.read(partition, next, wait, subscription.max_read_kb);
+    match read.await {
+        Ok(batch) => Ok(Answer::Batch(batch)),
+        Err(error) if error.is_expired() => Ok(Answer::Expired),
         Err(error) => Err(error),
     }
 }
--- a/crates/cassiarock-dispatch/src/freshness.rs
+++ b/crates/cassiarock-dispatch/src/freshness.rs
@@ -9,7 +9,7 @@
 use tokio::time::sleep;
 
 /// The pause between two checks of whether an overdue read is still receiving its answer.
-const RECEIVING_CHECK: Duration = Duration::from_millis(100);
+pub(crate) const RECEIVING_CHECK: Duration = Duration::from_millis(100);
 
 /// A freshness that clones share.
 #[derive(Clone, Debug)]
--- a/crates/cassiarock-dispatch/src/route_table.rs
+++ b/crates/cassiarock-dispatch/src/route_table.rs
@@ -40,7 +40,7 @@
         }
         self.0.send_replace(Some(Arc::new(table)));
         let unproved_ms = unproved.map(|age| age.as_millis() as u64);
-        log::info!(version = version, before = before, routes = routes, from = from, age_ms = age.as_millis(), unproved_ms:? = unproved_ms; "configuration in force");
+        log::info!(version = version, before = before, routes = routes, from = from, age_ms = age.as_millis(), unproved_ms = unproved_ms; "configuration in force");
         metrics::gauge!("cassiarock_configuration_version").set(version as f64);
         metrics::histogram!("cassiarock_configuration_age_seconds", "from" => from).record(age);
         true
--- a/crates/cassiarock-transient/src/lib.rs
+++ b/crates/cassiarock-transient/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod directory;
 pub mod evacuation;
 pub mod freshness;
+pub mod hedge;
 pub mod host;
 mod incarnation;
 mod job;
