Soak dropped and moved routes at every entry, beside longer and overlapping faults

The soak of configurations asked for routes that were added only, so that an entry that goes on by a route that was dropped, or runs jobs of a moved one at its former service, passed. Each answer is now checked against all configurations that may be in force when it is given: from the newest one that was due, or that the process has shown, to the newest one published. The former check (404 for a known route) is a case of it, with the same bounds.

New runs (ROUTE_SOAK) drop and move routes, let faults last up to 7 s, and add SIGTERM, SIGHUP and starved processes, which overlap; callers go on over their connections until a process is gone. The runs of CONFIGURATION_SOAK draw as before, so that their seeds mean the same.

--- a/tests/platform/configuration_soak.rs
+++ b/tests/platform/configuration_soak.rs
@@ -1,19 +1,21 @@
-//! A randomized soak of changes of the configuration: entries whose store, links or process fail are
-//! asked for the routes that were just added. `CONFIGURATION_SOAK=first..last` plays other seeds,
+//! Randomized soaks of changes of the configuration: entries whose store, links or process fail are
+//! asked for the routes that were just added, or also for those that were dropped or moved to
+//! another service. `CONFIGURATION_SOAK=first..last` and `ROUTE_SOAK=first..last` play other seeds,
 //! `CONFIGURATION_SOAK_ENTRIES=n` with more entries.
 
 use crate::configuration::has_version;
-use crate::site::Site;
+use crate::configuration_record::{Answer, Question, Record, Routes, Service, Version};
+use crate::site::{Site, body};
 use cassiarock_test_support::proxy::{Direction, Fault, Scope};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use reqwest::StatusCode;
-use std::collections::BTreeMap;
+use std::ops::Range;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// Seeds of a run in CI. Those that ever failed are added to `FOUND`.
-const SHORT: std::ops::Range<u64> = 1..4;
+const SHORT: Range<u64> = 1..4;
 
 /// Seeds that showed a fault, each with its cause.
 const FOUND: [u64; 3] = [
@@ -23,16 +25,9 @@
 
 const ENTRIES: usize = 3;
 
-/// What operators allow for a change to be in force at an entry that has been undisturbed for
-/// `CONTACT`.
-const IN_FORCE: Duration = Duration::from_secs(2);
-const CONTACT: Duration = Duration::from_secs(3);
-
-/// How long an entry that has shown a version may still answer from an older one.
-const DOWNGRADE: Duration = Duration::from_millis(250);
-
 /// How long disturbances come, and how long changes go on after them.
 const TROUBLE: Duration = Duration::from_secs(8);
+const LONG_TROUBLE: Duration = Duration::from_secs(14);
 const CALM: Duration = Duration::from_secs(5);
 
 const START: Duration = Duration::from_secs(20);
@@ -40,68 +35,102 @@
 /// The pause between two questions to an entry.
 const PAUSE: Duration = Duration::from_millis(40);
 
-/// The answer to a question for a route.
-struct Answer {
-    entry: usize,
-    queue: usize,
-    sent: Instant,
-    received: Instant,
-    status: StatusCode,
-}
+/// How long a leaving process is given before it is killed and started again, a second beyond its
+/// grace period.
+const LEAVE: Duration = Duration::from_secs(7);
+
+/// A starved process runs for so long, then stands still for so long.
+const RUN: Duration = Duration::from_millis(30);
+const STALL: Duration = Duration::from_millis(70);
 
-/// What happened in one run.
-#[derive(Default)]
-struct Record {
-    /// When each route was acknowledged, by its number.
-    added: BTreeMap<usize, Instant>,
-    /// Entries and when they were disturbed.
-    disturbed: Vec<(usize, Instant, Instant)>,
-    answers: Vec<Answer>,
-    said: Vec<String>,
+/// What the operators change.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Changes {
+    /// Each version adds a route.
+    Added,
+    /// Versions add, drop and move routes. Outages last longer, and processes are also stopped,
+    /// starved or told to reload.
+    All,
 }
 
 type Shared = Arc<Mutex<Record>>;
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn configurations_are_in_force_in_time_under_random_faults() {
-    let range: Option<std::ops::Range<u64>> =
-        std::env::var("CONFIGURATION_SOAK").ok().and_then(|text| {
-            let (first, last) = text.split_once("..")?;
-            Some(first.parse().ok()?..last.parse().ok()?)
-        });
-    let entries = std::env::var("CONFIGURATION_SOAK_ENTRIES").ok();
-    let entries = entries
-        .and_then(|text| text.parse().ok())
-        .unwrap_or(ENTRIES);
-    let seeds: Vec<u64> = match range {
-        Some(range) => range.collect(),
-        None => FOUND.into_iter().chain(SHORT).collect(),
-    };
+    let seeds = seeds("CONFIGURATION_SOAK", &FOUND);
     for seed in seeds {
-        play(seed, entries).await;
+        play(seed, entries(), Changes::Added).await;
     }
 }
 
-async fn play(seed: u64, entries: usize) {
-    let mut site = Site::start_entries(entries).await;
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn dropped_and_moved_routes_are_in_force_in_time_under_random_faults() {
+    for seed in seeds("ROUTE_SOAK", &[]) {
+        play(seed, entries(), Changes::All).await;
+    }
+}
+
+/// The seeds in the environment variable `name`, or else those `found` and the short ones.
+fn seeds(name: &str, found: &[u64]) -> Vec<u64> {
+    let range: Option<Range<u64>> = std::env::var(name).ok().and_then(|text| {
+        let (first, last) = text.split_once("..")?;
+        Some(first.parse().ok()?..last.parse().ok()?)
+    });
+    match range {
+        Some(range) => range.collect(),
+        None => found.iter().copied().chain(SHORT).collect(),
+    }
+}
+
+fn entries() -> usize {
+    let entries = std::env::var("CONFIGURATION_SOAK_ENTRIES").ok();
+    let entries = entries.and_then(|text| text.parse().ok());
+    entries.unwrap_or(ENTRIES)
+}
+
+async fn play(seed: u64, entries: usize, changes: Changes) {
+    let mut site = match changes {
+        Changes::Added => Site::start_entries(entries).await,
+        Changes::All => Site::start_in_two(entries, 1, true).await,
+    };
     for entry in &site.entries {
         has_version(entry, 1, START).await;
     }
     let record = Shared::default();
-    record.lock().unwrap().added.insert(0, Instant::now());
-    let until = Instant::now() + TROUBLE + CALM;
+    let now = Instant::now();
+    let routes = Routes::from([(0, Service::Tasks)]);
+    record.lock().unwrap().versions.push(Version {
+        sent: now,
+        acked: now,
+        routes: routes.clone(),
+    });
+    let trouble = match changes {
+        Changes::Added => TROUBLE,
+        Changes::All => LONG_TROUBLE,
+    };
+    let until = Instant::now() + trouble + CALM;
     let callers: Vec<_> = (0..entries)
         .map(|entry| {
-            let base = site.entries[entry].job("");
-            tokio::spawn(ask(seed, entry, base, record.clone(), until))
+            let caller = Caller {
+                rng: StdRng::seed_from_u64(seed * 1_000 + entry as u64),
+                entry,
+                base: site.entries[entry].job(""),
+                changes,
+                record: record.clone(),
+                jobs: 0,
+            };
+            tokio::spawn(caller.run(until))
         })
         .collect();
     let mut world = World {
         rng: StdRng::seed_from_u64(seed),
         site: &mut site,
+        changes,
         record: record.clone(),
-        queues: 1,
+        added: 1,
+        routes,
         heals: Vec::new(),
+        starved: Vec::new(),
     };
     world.run(until - CALM, true).await;
     world.heal_all();
@@ -112,36 +141,90 @@
     check(seed, &site, &record.lock().unwrap());
 }
 
-/// Asks one entry for the newest route, and at times for an older one, over a connection that stays
-/// open.
-async fn ask(seed: u64, entry: usize, base: String, record: Shared, until: Instant) {
-    let mut rng = StdRng::seed_from_u64(seed * 1_000 + entry as u64);
-    let client = reqwest::Client::builder().no_proxy().build().unwrap();
-    while Instant::now() < until {
-        let newest = *record.lock().unwrap().added.keys().next_back().unwrap();
-        let queue = if rng.random_bool(0.8) {
-            newest
-        } else {
-            rng.random_range(0..=newest)
+/// Asks one entry which configuration it has in force, over a connection that stays open.
+struct Caller {
+    rng: StdRng,
+    entry: usize,
+    base: String,
+    changes: Changes,
+    record: Shared,
+    jobs: usize,
+}
+
+impl Caller {
+    async fn run(mut self, until: Instant) {
+        let client = reqwest::Client::builder().no_proxy().build().unwrap();
+        while Instant::now() < until {
+            let question = self.question();
+            let request = self.request(&client, question);
+            let sent = Instant::now();
+            if let Ok(response) = request.timeout(Duration::from_secs(5)).send().await {
+                self.record.lock().unwrap().answers.push(Answer {
+                    entry: self.entry,
+                    question,
+                    sent,
+                    received: Instant::now(),
+                    status: response.status(),
+                });
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+
+    /// Asks mostly for the route that was changed last.
+    fn question(&mut self) -> Question {
+        let record = self.record.lock().unwrap();
+        let versions = &record.versions;
+        let routes = versions.iter().map(|version| version.routes.keys().last());
+        let newest = routes.flatten().max().copied().unwrap_or(0);
+        if self.changes == Changes::Added {
+            return Question::Count(if self.rng.random_bool(0.8) {
+                newest
+            } else {
+                self.rng.random_range(0..=newest)
+            });
+        }
+        let changed = match &versions[..] {
+            [.., before, last] => difference(&before.routes, &last.routes),
+            _ => Vec::new(),
         };
-        let url = if queue == 0 {
-            base.clone()
+        let route = if !changed.is_empty() && self.rng.random_bool(0.7) {
+            changed[self.rng.random_range(0..changed.len())]
         } else {
-            base.replace("/q/", &format!("/q-{queue}/"))
+            self.rng.random_range(0..=newest)
         };
-        let request = client.get(url).header("host", "queue.example");
-        let sent = Instant::now();
-        if let Ok(response) = request.timeout(Duration::from_secs(5)).send().await {
-            record.lock().unwrap().answers.push(Answer {
-                entry,
-                queue,
-                sent,
-                received: Instant::now(),
-                status: response.status(),
-            });
+        if self.rng.random_bool(0.3) {
+            Question::Job(route)
+        } else {
+            Question::Count(route)
         }
-        tokio::time::sleep(PAUSE).await;
     }
+
+    fn request(&mut self, client: &reqwest::Client, question: Question) -> reqwest::RequestBuilder {
+        let (Question::Count(route) | Question::Job(route)) = question;
+        let url = if route == 0 {
+            self.base.clone()
+        } else {
+            self.base.replace("/q/", &format!("/q-{route}/"))
+        };
+        let request = match question {
+            Question::Count(_) => client.get(url),
+            Question::Job(_) => {
+                self.jobs += 1;
+                let id = self.entry << 32 | self.jobs;
+                let job = client.post(format!("{url}{id:016x}"));
+                job.json(&body(1, 20)).header("deadline-ms", "1500")
+            }
+        };
+        request.header("host", "queue.example")
+    }
+}
+
+/// The routes that differ.
+fn difference(before: &Routes, after: &Routes) -> Vec<usize> {
+    let all = before.keys().chain(after.keys());
+    let changed = all.filter(|route| before.get(route) != after.get(route));
+    changed.copied().collect()
 }
 
 /// How a disturbance ends.
@@ -150,14 +233,21 @@
     Path,
     Process,
     Links,
+    /// The process is gone and starts again.
+    Leave,
 }
 
 struct World<'a> {
     rng: StdRng,
     site: &'a mut Site,
+    changes: Changes,
     record: Shared,
-    queues: usize,
+    /// How many routes were ever added.
+    added: usize,
+    routes: Routes,
     heals: Vec<(Instant, usize, Heal)>,
+    /// Entries that are starved, and until when.
+    starved: Vec<(usize, Instant)>,
 }
 
 impl World<'_> {
@@ -167,6 +257,7 @@
         while Instant::now() < until {
             let now = Instant::now();
             self.heal_due(now);
+            self.starve(now);
             if now >= publish_at {
                 let is_storm = self.rng.random_bool(0.15);
                 for _ in 0..if is_storm { 6 } else { 1 } {
@@ -183,18 +274,59 @@
     }
 
     fn publish(&mut self) {
-        let queue = self.queues;
-        self.queues += 1;
-        self.site.configure_queues(self.queues);
-        let added = Instant::now();
-        self.record.lock().unwrap().added.insert(queue, added);
+        match self.changes {
+            Changes::Added => self.add(),
+            Changes::All => self.change(),
+        }
+        let sent = Instant::now();
+        let routes = self.routes.iter();
+        self.site
+            .configure_routes(routes.map(|(route, service)| (*route, service.name())));
+        self.record.lock().unwrap().versions.push(Version {
+            sent,
+            acked: Instant::now(),
+            routes: self.routes.clone(),
+        });
+    }
+
+    fn add(&mut self) {
+        self.routes.insert(self.added, Service::Tasks);
+        self.added += 1;
+    }
+
+    /// Adds, drops or moves routes.
+    fn change(&mut self) {
+        for _ in 0..self.rng.random_range(1..4) {
+            let known: Vec<usize> = self.routes.keys().copied().collect();
+            let route = known.get(self.rng.random_range(0..known.len().max(1)));
+            match (route, self.rng.random_range(0..3)) {
+                (Some(route), 0) => {
+                    self.routes.remove(route);
+                }
+                (Some(route), 1) => {
+                    let moved = match self.routes[route] {
+                        Service::Tasks => Service::Unknown,
+                        Service::Unknown => Service::Tasks,
+                    };
+                    self.routes.insert(*route, moved);
+                }
+                _ => self.add(),
+            }
+        }
     }
 
     /// Disturbs one entry, or all of them at once.
     fn strike(&mut self) {
         let entries = self.site.entries.len();
-        let kind = self.rng.random_range(0..9);
-        let lasts = Duration::from_millis(self.rng.random_range(300..4_000));
+        let kinds = match self.changes {
+            Changes::Added => 9,
+            Changes::All => 12,
+        };
+        let kind = self.rng.random_range(0..kinds);
+        let mut lasts = Duration::from_millis(self.rng.random_range(300..4_000));
+        if self.changes == Changes::All && self.rng.random_bool(0.3) {
+            lasts += Duration::from_secs(3);
+        }
         let targets = if self.rng.random_bool(0.4) {
             0..entries
         } else {
@@ -247,6 +379,21 @@
                 entry.restart();
                 None
             }
+            9 => {
+                entry.process.terminate();
+                self.heals.push((now + LEAVE, number, Heal::Leave));
+                self.record_disturbance(number, now, now + LEAVE);
+                return;
+            }
+            10 => {
+                entry.process.hang_up();
+                return;
+            }
+            11 => {
+                self.starved.push((number, now + lasts));
+                self.record_disturbance(number, now, now + lasts);
+                return;
+            }
             _ => {
                 entry.proxy.set(Scope::All, direction, Fault::Silent);
                 Some(Heal::Links)
@@ -254,11 +401,26 @@
         };
         let end = if heal.is_some() { now + lasts } else { now };
         self.heals.extend(heal.map(|heal| (end, number, heal)));
-        self.record
-            .lock()
-            .unwrap()
-            .disturbed
-            .push((number, now, end));
+        self.record_disturbance(number, now, end);
+    }
+
+    fn record_disturbance(&self, number: usize, start: Instant, end: Instant) {
+        let disturbance = (number, start, end);
+        self.record.lock().unwrap().disturbed.push(disturbance);
+    }
+
+    /// Stops starved processes for a part of the time.
+    fn starve(&mut self, now: Instant) {
+        for (number, until) in &self.starved {
+            let left = until.saturating_duration_since(now).as_millis();
+            let process = &self.site.entries[*number].process;
+            if left > 0 && left % (RUN + STALL).as_millis() < STALL.as_millis() {
+                process.pause();
+            } else {
+                process.resume();
+            }
+        }
+        self.starved.retain(|(_, until)| *until > now);
     }
 
     fn heal_due(&mut self, now: Instant) {
@@ -291,53 +453,13 @@
             Heal::Path => entry.store_path.set_all(Fault::None),
             Heal::Process => entry.process.resume(),
             Heal::Links => entry.proxy.set_all(Fault::None),
-        }
-        let now = Instant::now();
-        self.record
-            .lock()
-            .unwrap()
-            .disturbed
-            .push((number, now, now));
-    }
-}
-
-impl Record {
-    fn is_calm(&self, entry: usize, from: Instant, until: Instant) -> bool {
-        let mut disturbed = self
-            .disturbed
-            .iter()
-            .filter(|(number, ..)| *number == entry);
-        !disturbed.any(|(_, start, end)| *start <= until && *end >= from)
-    }
-
-    /// The 404s that come too late after the change, or after the same process has shown the route.
-    fn late(&self) -> Vec<String> {
-        let refused = self
-            .answers
-            .iter()
-            .filter(|answer| answer.status == StatusCode::NOT_FOUND);
-        let mut late = Vec::new();
-        for answer in refused {
-            let Answer {
-                entry, queue, sent, ..
-            } = *answer;
-            let age = sent.saturating_duration_since(self.added[&queue]);
-            let from = sent.checked_sub(CONTACT).unwrap_or(sent);
-            if age > IN_FORCE && self.is_calm(entry, from, answer.received) {
-                late.push(format!("entry {entry} lacks {queue} after {age:?}"));
-            }
-            let has_shown = self.answers.iter().any(|other| {
-                other.entry == entry
-                    && other.queue >= queue
-                    && other.status == StatusCode::OK
-                    && other.received + DOWNGRADE < sent
-                    && self.is_calm(entry, other.received, answer.received)
-            });
-            if has_shown {
-                late.push(format!("entry {entry} has shown {queue} and lacks it"));
+            Heal::Leave => {
+                entry.process.kill();
+                entry.restart();
             }
         }
-        late
+        let now = Instant::now();
+        self.record_disturbance(number, now, now);
     }
 }
 
@@ -347,7 +469,7 @@
         .iter()
         .filter(|answer| answer.status == StatusCode::OK)
         .count();
-    let late = record.late();
+    let outdated = record.outdated();
     let context = || {
         let logs: Vec<String> = site
             .entries
@@ -362,7 +484,7 @@
             file.display()
         )
     };
-    assert!(late.is_empty(), "{late:?}; {}", context());
+    assert!(outdated.is_empty(), "{outdated:?}; {}", context());
     assert!(
         served * 4 >= record.answers.len(),
         "{served} served; {}",
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -4,6 +4,7 @@
 
 mod bad_input;
 mod configuration;
+mod configuration_record;
 mod configuration_soak;
 mod directory;
 mod evacuation;
--- a/tests/platform/site.rs
+++ b/tests/platform/site.rs
@@ -207,8 +207,13 @@
 
     /// Publishes a configuration with so many queues. Gives its version.
     pub fn configure_queues(&mut self, queues: usize) -> u64 {
+        self.configure_routes((0..queues).map(|number| (number, "tasks")))
+    }
+
+    /// Publishes a configuration with these queues and their services. Gives its version.
+    pub fn configure_routes(&mut self, routes: impl Iterator<Item = (usize, &'static str)>) -> u64 {
         self.version += 1;
-        let queue = |number| {
+        let queue = |(number, service)| {
             let path = if number == 0 {
                 "/q/".into()
             } else {
@@ -217,12 +222,12 @@
             json!({
                 "name": format!("r-{number}"), "host": "queue.example", "pathPrefix": path,
                 "kind": "unsafe", "timeoutMs": 1500, "targetLatencyMs": 60, "priority": 0,
-                "service": "tasks", "attempts": 3, "slackFactor": 1.6,
+                "service": service, "attempts": 3, "slackFactor": 1.6,
             })
         };
         let config = json!({
             "version": self.version,
-            "routes": (0..queues).map(queue).collect::<Vec<_>>(),
+            "routes": routes.map(queue).collect::<Vec<_>>(),
             "services": [{ "name": "tasks", "enforceCapacity": true }],
             "limits": { "maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000 },
         });
