Count the time that a report of freshness was on its way as a part of its age

Callers (suspected, not seen): an entry whose read of the store is lost goes on by an old configuration for longer than it believes its orders to be unproved.

Cause: a report carries its age at the moment of sending. The time in the sender's queue, on the way and in the receiver's queue was not counted, at up to eight hops; on a fraction of a core that may be hundreds of milliseconds each. Class: the age of knowledge measured from when it arrived.

Fix: each heartbeat between entries carries the sender's clock and echoes the receiver's, advanced by the time for which it was held. What passed since the receiver sent that clock is an upper bound of the way, and counts as age. A report without an echo (the first on a link, or of an older build) proves nothing.

--- a/crates/cassiarock-dispatch/src/entry/links.rs
+++ b/crates/cassiarock-dispatch/src/entry/links.rs
@@ -49,6 +49,7 @@
                     log::warn!(dependency:% = peer.process, role:? = peer.role; "link lost");
                     self.scheduler.unlink(&peer.process);
                     self.lag.link_lost(&peer.process);
+                    self.clocks.forget(&peer.process);
                     // Linked agents have its address; new ones get it when the entry links again.
                     let place = Endpoint::new(peer.address.clone(), peer.data_centre.clone());
                     self.entries.remove(&place);
@@ -71,10 +72,11 @@
                     version, freshness, ..
                 },
             ) => {
-                if let Some(report) = freshness
-                    && version == self.table.version()
-                {
-                    self.freshness.record_report(report);
+                if let Some(report) = freshness {
+                    self.clocks.record(&peer.process, report.clock_ms, now);
+                    if version == self.table.version() {
+                        self.freshness.record_report(report, now);
+                    }
                 }
                 let newest = self.newest_version.fetch_max(version, Ordering::Relaxed);
                 if version > newest.max(self.table.version()) {
@@ -153,11 +155,12 @@
             .all()
             .filter(|link| link.peer.role == Role::Entry);
         for link in entries {
+            let stamp = |report| self.clocks.stamp(report, &link.peer.process, now);
             let message = Message::EntryHeartbeat {
                 echo: 0,
                 version,
                 ask: None,
-                freshness,
+                freshness: freshness.map(stamp),
             };
             // A link that does not accept it is about to close.
             let _ = link.send(Frame::Transient(message));
--- a/crates/cassiarock-dispatch/src/entry/mod.rs
+++ b/crates/cassiarock-dispatch/src/entry/mod.rs
@@ -16,6 +16,7 @@
 use cassiarock_peer::{Event, Links};
 use cassiarock_process::{Clock, Status};
 use cassiarock_transient::directory::Endpoint;
+use cassiarock_transient::freshness::Clocks;
 use cassiarock_transient::lag::ConfigurationLag;
 use cassiarock_transient::scheduler::{Action, Answer};
 use cassiarock_transient::{Scheduler, directory};
@@ -68,6 +69,8 @@
     pub(crate) lag: ConfigurationLag,
     /// When the operators' orders were last known to be complete.
     pub(crate) freshness: SharedFreshness,
+    /// The clocks of the other entries, which reports of freshness echo.
+    pub(crate) clocks: Clocks,
     /// The client that reads the operators' configuration.
     pub(crate) store: Store,
     pub(crate) table: SharedTable,
--- a/crates/cassiarock-dispatch/src/freshness.rs
+++ b/crates/cassiarock-dispatch/src/freshness.rs
@@ -37,8 +37,7 @@
     }
 
     /// Records the report of another entry that has the same orders in force.
-    pub(crate) fn record_report(&self, report: Report) {
-        let now = self.now();
+    pub(crate) fn record_report(&self, report: Report, now: Duration) {
         self.state.send_if_modified(|state| {
             let before = state.clone();
             state.record_report(report, now);
--- a/crates/cassiarock-dispatch/src/run/entry.rs
+++ b/crates/cassiarock-dispatch/src/run/entry.rs
@@ -17,6 +17,7 @@
 };
 use cassiarock_transient::Scheduler;
 use cassiarock_transient::directory::Endpoint;
+use cassiarock_transient::freshness::Clocks;
 use cassiarock_transient::lag::ConfigurationLag;
 use cassiarock_transient::roster::{LINKS_PER_ENTRY, Roster};
 use cassiarock_wire::Role;
@@ -264,6 +265,7 @@
         configuration: None,
         lag: ConfigurationLag::new(),
         freshness,
+        clocks: Clocks::new(),
         store,
         table,
         newest_version,
--- a/crates/cassiarock-transient/src/freshness.rs
+++ b/crates/cassiarock-transient/src/freshness.rs
@@ -11,7 +11,9 @@
 //! seen no proof for too long gives up its waiting read, asks the store at once, and goes on with
 //! short waits.
 
+use cassiarock_id::Process;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// How long a read waits for a record while other entries prove that the orders are complete. The
@@ -30,21 +32,92 @@
 /// others the same.
 const MAX_JITTER: Duration = Duration::from_millis(300);
 
-/// Two proofs this close count as one, since its age grows by the transit time at each hop.
+/// Two proofs this close count as one, since its age grows by the round-trip time at each hop.
 const SAME_PROOF: Duration = Duration::from_millis(200);
 
-/// The most hops that a proof travels. Without a limit, entries that report an old proof to each
-/// other in circles could keep it fresh if heartbeats take longer than their interval. Entries with
-/// six links each reach 600 others in four hops.
+/// The most hops that a proof travels. Entries with six links each reach 600 others in four hops.
 const MAX_HOPS: u8 = 8;
 
 /// The age of an entry's newest proof, as heartbeats report it.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Report {
     /// Time since the store answered, in milliseconds.
     pub age_ms: u32,
     /// The number of entries that it was reported through; 0 for the sender's own read.
     pub hops: u8,
+    /// The receiver's clock in milliseconds, as the sender last received it, plus the time since
+    /// then; `None` if the sender has not received it.
+    #[serde(default, rename = "echo", skip_serializing_if = "Option::is_none")]
+    pub echo_ms: Option<u64>,
+    /// The sender's clock in milliseconds.
+    #[serde(default, rename = "clock")]
+    pub clock_ms: u64,
+}
+
+/// The clocks of other entries as their heartbeats report them, to be echoed.
+///
+/// A report waits in queues and sockets on its way, for hundreds of milliseconds at entries that are
+/// short of processor time, and its age does not include that. The time since the receiver sent the
+/// clock that is echoed to it, less the time for which the sender held it, is an upper bound.
+#[derive(Clone, Debug, Default)]
+pub struct Clocks(BTreeMap<Process, Clock>);
+
+/// A clock of another entry and when it was received.
+#[derive(Clone, Copy, Debug)]
+struct Clock {
+    reading_ms: u64,
+    received_at: Duration,
+}
+
+impl Clocks {
+    /// Creates an empty set of clocks.
+    ///
+    /// ```
+    /// use cassiarock_transient::freshness::{Clocks, Report};
+    /// use std::time::Duration;
+    /// let mut clocks = Clocks::new();
+    /// let other = cassiarock_id::Process::new("entry-2", 1);
+    /// clocks.record(&other, 7_000, Duration::from_millis(100));
+    /// let report = clocks.stamp(Report::default(), &other, Duration::from_millis(140));
+    /// assert_eq!(report.echo_ms, Some(7_040));
+    /// ```
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Records the clock in a heartbeat of another entry.
+    pub fn record(&mut self, other: &Process, reading_ms: u64, now: Duration) {
+        let received_at = now;
+        let clock = Clock {
+            reading_ms,
+            received_at,
+        };
+        self.0.insert(other.clone(), clock);
+    }
+
+    /// Adds this entry's clock and the echo of the receiver's to a report.
+    #[must_use]
+    pub fn stamp(&self, report: Report, receiver: &Process, now: Duration) -> Report {
+        let echo = self.0.get(receiver).map(|clock| {
+            let held = millis(now.saturating_sub(clock.received_at));
+            clock.reading_ms.saturating_add(held)
+        });
+        Report {
+            echo_ms: echo,
+            clock_ms: millis(now),
+            ..report
+        }
+    }
+
+    /// Forgets the clock of an entry whose link was lost.
+    pub fn forget(&mut self, other: &Process) {
+        self.0.remove(other);
+    }
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
 
 /// When the operators' orders were last known to be complete, and how to read on.
@@ -101,10 +174,15 @@
         self.is_suspect = true;
     }
 
-    /// Records the report of another entry that has the same orders in force.
+    /// Records the report of another entry that has the same orders in force. A report without an
+    /// echo proves nothing: it may have been on its way for any time.
     pub fn record_report(&mut self, report: Report, now: Duration) {
+        let Some(echo_ms) = report.echo_ms else {
+            return;
+        };
+        let transit = now.saturating_sub(Duration::from_millis(echo_ms));
         let age = Duration::from_millis(report.age_ms.into());
-        let at = now.saturating_sub(age);
+        let at = now.saturating_sub(age.saturating_add(transit));
         let hops = report.hops.saturating_add(1);
         if hops > MAX_HOPS {
             return;
@@ -119,7 +197,7 @@
         }
     }
 
-    /// What to report to other entries.
+    /// What to report to other entries, without the clocks that [`Clocks::stamp`] adds.
     #[must_use]
     pub fn report(&self, now: Duration) -> Option<Report> {
         let proof = self.proof?;
@@ -127,6 +205,7 @@
         Some(Report {
             age_ms: age_ms.unwrap_or(u32::MAX),
             hops: proof.hops,
+            ..Report::default()
         })
     }
 
--- a/crates/cassiarock-transient/tests/extremes.rs
+++ b/crates/cassiarock-transient/tests/extremes.rs
@@ -96,8 +96,14 @@
 }
 
 fn report() -> impl Strategy<Value = Option<freshness::Report>> {
-    let report = any::<(u32, u8)>();
-    proptest::option::of(report.prop_map(|(age_ms, hops)| freshness::Report { age_ms, hops }))
+    let report = any::<(u32, u8, Option<u64>, u64)>();
+    let report = report.prop_map(|(age_ms, hops, echo_ms, clock_ms)| freshness::Report {
+        age_ms,
+        hops,
+        echo_ms,
+        clock_ms,
+    });
+    proptest::option::of(report)
 }
 
 fn request() -> impl Strategy<Value = Option<CapacityRequest>> {
--- a/crates/cassiarock-transient/tests/freshness.rs
+++ b/crates/cassiarock-transient/tests/freshness.rs
@@ -2,7 +2,8 @@
 
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
-use cassiarock_transient::freshness::{Freshness, Report};
+use cassiarock_id::Process;
+use cassiarock_transient::freshness::{Clocks, Freshness, Report};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::time::Duration;
@@ -33,8 +34,13 @@
     is_lost: bool,
 }
 
+fn process(number: usize) -> Process {
+    Process::new(format!("entry-{number}"), 1)
+}
+
 struct Entry {
     freshness: Freshness,
+    clocks: Clocks,
     links: Vec<usize>,
     heartbeat_at: Duration,
     read_at: Duration,
@@ -45,6 +51,7 @@
 
 /// A heartbeat on its way.
 struct Heartbeat {
+    from: usize,
     to: usize,
     arrives_at: Duration,
     report: Report,
@@ -67,6 +74,7 @@
         let mut all: Vec<Entry> = (0..entries)
             .map(|_| Entry {
                 freshness: Freshness::new(),
+                clocks: Clocks::new(),
                 links: Vec::new(),
                 heartbeat_at: ms(rng.random_range(0..100)),
                 read_at: ms(rng.random_range(0..300)),
@@ -120,6 +128,8 @@
             let is_due = heartbeat.arrives_at <= now;
             if is_due {
                 let entry = &mut entries[heartbeat.to];
+                let from = process(heartbeat.from);
+                entry.clocks.record(&from, heartbeat.report.clock_ms, now);
                 entry.freshness.record_report(heartbeat.report, now);
                 entry.complete_until = entry.complete_until.max(heartbeat.complete_until);
             }
@@ -178,14 +188,26 @@
         for to in &entry.links {
             let jitter = self.transit.mul_f64(self.rng.random());
             self.heartbeats.push(Heartbeat {
+                from: number,
                 to: *to,
                 arrives_at: now + self.transit / 2 + jitter,
-                report,
+                report: entry.clocks.stamp(report, &process(*to), now),
                 complete_until: entry.complete_until,
             });
         }
     }
 
+    /// The most by which any entry takes its orders for fresher than they are.
+    fn understated(&self) -> Duration {
+        let now = self.now;
+        let entries = self.entries.iter();
+        let understated = entries.map(|entry| {
+            let age = entry.freshness.age(now).unwrap();
+            (now - entry.complete_until).saturating_sub(age)
+        });
+        understated.max().unwrap()
+    }
+
     /// The most that any entry's orders are behind.
     fn behind(&self) -> Duration {
         let entries = self.entries.iter();
@@ -262,3 +284,25 @@
         .map(|entry| entry.freshness.age(now).unwrap());
     assert!(ages.min().unwrap() > ms(5_000));
 }
+
+// Starved entries and full queues hold heartbeats up, but not so long that the link is replaced.
+#[test]
+fn no_entry_takes_its_orders_for_fresher_than_they_are() {
+    for seed in 0..20 {
+        for (entries, transit) in [(3, 4), (3, 200), (12, 4), (12, 150), (60, 100)] {
+            let mut world = World::new(seed, entries, ms(transit));
+            world.run(ms(4_000));
+            for step in 0..60 {
+                if step == 20 {
+                    world.lose_reads();
+                }
+                world.run(ms(50));
+                let understated = world.understated();
+                assert!(
+                    understated <= ANSWER_TIME + STEP,
+                    "seed {seed}, {entries}, {transit} ms: {understated:?}"
+                );
+            }
+        }
+    }
+}
--- a/crates/cassiarock-wire/tests/codec.rs
+++ b/crates/cassiarock-wire/tests/codec.rs
@@ -44,7 +44,7 @@
 // During an upgrade, entries of the build before send heartbeats without the field, and read ones with it.
 #[test]
 fn a_heartbeat_without_freshness_is_what_older_builds_send() {
-    let with_freshness = encode(&heartbeat(Some(Report { age_ms: 0, hops: 0 }))).unwrap();
+    let with_freshness = encode(&heartbeat(Some(Report::default()))).unwrap();
     let name = b"freshness";
     let has_name = |bytes: &[u8]| bytes.windows(name.len()).any(|part| part == name);
     assert!(has_name(&with_freshness));
@@ -58,7 +58,7 @@
     demand = { Frame::Demand(SlotDemand::default()) },
     run = { start() },
     entry_heartbeat = { heartbeat(None) },
-    fresh_entry_heartbeat = { heartbeat(Some(Report { age_ms: 250, hops: 2 })) },
+    fresh_entry_heartbeat = { heartbeat(Some(Report { age_ms: 250, hops: 2, echo_ms: Some(7_040), clock_ms: 9 })) },
 )]
 fn a_decoded_frame_equals_the_encoded_one(frame: Frame) {
     let bytes = encode(&frame).unwrap();
