Compare and replace the route table in one step

Callers (not seen): an entry that reads a configuration while a copy of an older one arrives may go back to the older one, until the next change or a copy from another entry.

Cause: both writers compared the version in force and then replaced the table. On the platform's roles this cannot happen today: they run on one thread and do not yield in between; by reading, not by a run. The type did not say so. Class: check, then act.

Fix: compared under the lock of the channel that holds the table.

--- a/crates/cassiarock-dispatch/src/route_table.rs
+++ b/crates/cassiarock-dispatch/src/route_table.rs
@@ -34,11 +34,21 @@
         age: Duration,
         unproved: Option<Duration>,
     ) -> bool {
-        let (version, before, routes) = (table.version, self.version(), table.len());
-        if version <= before {
+        let (version, routes) = (table.version, table.len());
+        let mut before = 0;
+        let table = Arc::new(table);
+        // Compared under the lock of the channel, as other threads may adopt a table meanwhile.
+        let is_newer = self.0.send_if_modified(|current| {
+            before = current.as_ref().map_or(0, |table| table.version);
+            let is_newer = version > before;
+            if is_newer {
+                *current = Some(table);
+            }
+            is_newer
+        });
+        if !is_newer {
             return false;
         }
-        self.0.send_replace(Some(Arc::new(table)));
         let unproved_ms = unproved.map(|age| age.as_millis() as u64);
         log::info!(version = version, before = before, routes = routes, from = from, age_ms = age.as_millis(), unproved_ms = unproved_ms; "configuration in force");
         metrics::gauge!("cassiarock_configuration_version").set(version as f64);
--- a/crates/cassiarock-dispatch/tests/operator.rs
+++ b/crates/cassiarock-dispatch/tests/operator.rs
@@ -15,6 +15,8 @@
 use cassiarock_adapter::Store;
 use cassiarock_process::Clock;
 use cassiarock_test_support::log::Stand;
+use cassiarock_transient::RouteTable;
+use cassiarock_transient::table::RequestLimits;
 use freshness::SharedFreshness;
 use operator::{Update, follow_orders};
 use route_table::SharedTable;
@@ -88,3 +90,34 @@
     timeout(IN_FORCE, has_newest).await.unwrap().unwrap();
     assert_eq!(table.version(), 5);
 }
+
+// The reader of the store and the actor compare versions before they replace the table.
+#[test]
+fn a_table_is_never_replaced_by_an_older_one_of_another_thread() {
+    for round in 0..300 {
+        let table = SharedTable::new();
+        let barrier = std::sync::Barrier::new(2);
+        std::thread::scope(|scope| {
+            for first in [1, 2] {
+                let (table, barrier) = (table.clone(), &barrier);
+                scope.spawn(move || {
+                    barrier.wait();
+                    for version in (first..200).step_by(2) {
+                        let routes = RouteTable::new(version, limits(), Vec::new());
+                        table.adopt(routes, "a test", Duration::ZERO, None);
+                        assert!(table.version() >= version, "round {round}");
+                    }
+                });
+            }
+        });
+    }
+}
+
+const fn limits() -> RequestLimits {
+    RequestLimits {
+        max_header_bytes: 16_384,
+        max_body_bytes: 65_536,
+        header_timeout: Duration::from_secs(3),
+        idle_timeout: Duration::from_secs(15),
+    }
+}
