--- a/tests/platform/configuration_soak.rs
+++ b/tests/platform/configuration_soak.rs
@@ -23,6 +23,11 @@
     11, 17, 44,
 ];
 
+const ROUTES_FOUND: [u64; 1] = [
+    // A store that was back was not asked again while an attempt of 4 s was unanswered.
+    8,
+];
+
 const ENTRIES: usize = 3;
 
 /// How long disturbances come, and how long changes go on after them.
@@ -65,7 +70,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn dropped_and_moved_routes_are_in_force_in_time_under_random_faults() {
-    for seed in seeds("ROUTE_SOAK", &[]) {
+    for seed in seeds("ROUTE_SOAK", &ROUTES_FOUND) {
         play(seed, entries(), Changes::All).await;
     }
 }
