Replace a waiting read that another entry's version shows to be lost

Callers (not seen): an entry whose read of the store is lost gets each configuration as a copy from another entry. When that entry fails as well, only the age of its last proof is left, 1.5 to 1.8 s of the 2 s that are allowed.

Cause: a copy repaired the effect and left the read as it was, up to 20 s, since the other entry went on to prove that nothing was missed. Class: a backup that hides the failure of what it backs up.

Fix: an entry that asks for a copy gives its waiting read up and asks the store, unless it is repeating its read already.

--- a/crates/cassiarock-dispatch/src/entry/links.rs
+++ b/crates/cassiarock-dispatch/src/entry/links.rs
@@ -87,6 +87,7 @@
                 if version > before && self.lag.should_ask(&peer.process, is_sending, now) {
                     log::info!(dependency:% = peer.process, version = version, before = before; "configuration asked for");
                     send(&self.links, &peer.process, Message::AskConfiguration);
+                    self.freshness.record_missed();
                 }
                 Vec::new()
             }
--- a/crates/cassiarock-dispatch/src/freshness.rs
+++ b/crates/cassiarock-dispatch/src/freshness.rs
@@ -54,6 +54,10 @@
         self.state.send_modify(Freshness::record_failure);
     }
 
+    pub(crate) fn record_missed(&self) {
+        self.state.send_modify(Freshness::record_missed);
+    }
+
     /// How long the next read is to wait for a record.
     pub(crate) fn read_wait(&self) -> Duration {
         self.state.borrow().read_wait(rand::random())
--- a/crates/cassiarock-transient/src/freshness.rs
+++ b/crates/cassiarock-transient/src/freshness.rs
@@ -128,6 +128,8 @@
     is_watching: bool,
     /// Whether the next read must not wait.
     is_suspect: bool,
+    /// Whether another entry has an order that the waiting read has not returned.
+    has_missed: bool,
 }
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -165,6 +167,7 @@
             self.is_watching = false;
         }
         self.is_suspect = false;
+        self.has_missed = false;
         self.proof = Some(Proof { at: now, hops: 0 });
     }
 
@@ -172,6 +175,23 @@
     pub const fn record_failure(&mut self) {
         self.is_watching = true;
         self.is_suspect = true;
+        self.has_missed = false;
+    }
+
+    /// Records that another entry has an order that the store has not sent in time, so that the
+    /// waiting read is probably lost. Copies from that entry would hide it until that entry is lost
+    /// as well. A read that is being repeated already goes on.
+    ///
+    /// ```
+    /// use cassiarock_transient::freshness::Freshness;
+    /// use std::time::Duration;
+    /// let mut freshness = Freshness::new();
+    /// freshness.record_answer(Duration::from_secs(7));
+    /// freshness.record_missed();
+    /// assert_eq!(freshness.overdue_at(0.5), Some(Duration::ZERO));
+    /// ```
+    pub const fn record_missed(&mut self) {
+        self.has_missed = !self.is_suspect;
     }
 
     /// Records the report of another entry that has the same orders in force. A report without an
@@ -228,10 +248,13 @@
         }
     }
 
-    /// When a read that waits long is to be given up unless a new proof arrives, with a `draw` from
-    /// 0 up to 1; `None` for reads that wait only for a short time.
+    /// When a waiting read is to be given up unless a new proof arrives, with a `draw` from 0 up to
+    /// 1; `None` for reads that wait only for a short time and are not known to have missed an order.
     #[must_use]
     pub fn overdue_at(&self, draw: f64) -> Option<Duration> {
+        if self.has_missed {
+            return Some(Duration::ZERO);
+        }
         if self.is_watching {
             return None;
         }
--- a/tests/platform/store_path.rs
+++ b/tests/platform/store_path.rs
@@ -90,3 +90,22 @@
     let late = lateness_after_outage(3, Duration::from_millis(5_600)).await;
     assert_eq!(late, [Duration::ZERO; 3]);
 }
+
+// Copies from another entry hid that the read was lost, until that entry was lost as well.
+#[tokio::test]
+async fn a_read_that_missed_a_configuration_is_replaced_although_a_copy_has_come() {
+    let mut site = Site::start_entries(2).await;
+    for entry in &site.entries {
+        has_version(entry, 1, START).await;
+    }
+    tokio::time::sleep(SETTLED).await;
+    let entry = &site.entries[1];
+    let path = &entry.store_path;
+    path.set(Scope::Existing, Direction::Both, Fault::Silent);
+    let opened = path.accepted();
+    let version = site.configure_queues(2);
+    let entry = &site.entries[1];
+    has_version(entry, version, IN_FORCE).await;
+    tokio::time::sleep(IN_FORCE).await;
+    assert!(entry.store_path.accepted() > opened);
+}
