Take a stalled answer, or one about another topic, not for progress of a read

Callers (not seen): an entry whose read of the orders is lost does not give it up, and asks no other entry for a copy at once, while any other answer of the store is stuck half way: up to 4 s.

Cause: one count of open answers, shared by all clones of the store's client, stood for "data is arriving". Class: an open connection taken for progress.

--- a/crates/cassiarock-dispatch/src/run/entry.rs
+++ b/crates/cassiarock-dispatch/src/run/entry.rs
@@ -105,6 +105,7 @@
         let identity = identity(&settings, &process, Role::Entry);
         let links = Listener::bind(settings.peers).await?;
         let store = Store::new(settings.store.to_string())?;
+        let orders_store = store.clone().with_own_progress();
         let (inputs, received) = mpsc::channel(BACKLOG);
         let (events, received_events) = mpsc::channel(BACKLOG);
         // The number of calls is bounded by the callers' connections, each of which has one request
@@ -125,7 +126,7 @@
             table.clone(),
             newest_version.clone(),
             status,
-            store.clone(),
+            orders_store.clone(),
             clock,
             freshness.clone(),
         ));
@@ -173,7 +174,7 @@
         );
         parts.spawn(
             "the exchange of caller patience",
-            learned::sync(store.clone(), inputs.clone()),
+            learned::sync(store, inputs.clone()),
         );
         let (orders, received_orders) = mpsc::channel(ORDER_BACKLOG);
         parts.spawn(
@@ -182,7 +183,7 @@
         );
         parts.spawn_vital(
             "the operators' orders",
-            operator::follow_orders(store, freshness, table, orders),
+            operator::follow_orders(orders_store, freshness, table, orders),
         );
         monitor(&settings, &statuses, &mut parts).await?;
         let is_leaving = Arc::new(AtomicBool::new(false));
