Refuse calls by routes of a configuration that has been outdated for too long

Callers (not seen): an entry that has been told of a newer configuration answers 503 for routes that it does not find, but serves those that it does find, however long it has lacked the newer one.

Class: acting on knowledge that is known to be outdated.

An entry now refuses jobs and counts with 503 and Retry-After once it has lacked a version that a linked entry has in force for longer than operators allow (configApplyMs of the settings; 2 s without it). Any such answer would be too late by the users' bound, and another entry has the newer version. It goes on if no entry with the newer version is heard any more: the promise to go on while the store is down holds. In a storm of changes only the age of the oldest missing version counts.

Evidence: by reading.

--- a/crates/cassiarock-dispatch/src/entry/links.rs
+++ b/crates/cassiarock-dispatch/src/entry/links.rs
@@ -10,7 +10,6 @@
 use cassiarock_transient::scheduler::Action;
 use cassiarock_transient::{Message, directory, timing};
 use cassiarock_wire::{Frame, Hello, Role};
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 /// Most entries whose addresses are sent to agents. The service is designed for some 600 entries.
@@ -78,12 +77,9 @@
                         self.freshness.record_report(report, now);
                     }
                 }
-                let newest = self.newest_version.fetch_max(version, Ordering::Relaxed);
-                if version > newest.max(self.table.version()) {
-                    log::info!(dependency:% = peer.process, version = version, before = self.table.version(); "newer configuration heard of");
-                }
                 let is_sending = self.store.is_receiving();
                 let before = self.table.version();
+                self.missing.record(&peer.process, version, before, now);
                 if version > before && self.lag.should_ask(&peer.process, is_sending, now) {
                     log::info!(dependency:% = peer.process, version = version, before = before; "configuration asked for");
                     send(&self.links, &peer.process, Message::AskConfiguration);
--- a/crates/cassiarock-dispatch/src/entry/mod.rs
+++ b/crates/cassiarock-dispatch/src/entry/mod.rs
@@ -8,6 +8,7 @@
 use crate::freshness::SharedFreshness;
 use crate::learned::RoutePatience;
 use crate::mesh::Mesh;
+use crate::missing::Missing;
 use crate::operator::Update;
 use crate::route_table::SharedTable;
 use cassiarock_adapter::Store;
@@ -25,8 +26,6 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 use tokio::sync::{oneshot, watch};
 use tokio::time::Instant;
@@ -74,8 +73,8 @@
     /// The client that reads the operators' configuration.
     pub(crate) store: Store,
     pub(crate) table: SharedTable,
-    /// The highest version that this entry has been told of, for requests that match no route.
-    pub(crate) newest_version: Arc<AtomicU64>,
+    /// The configurations that other entries have and this one lacks.
+    pub(crate) missing: Missing,
     pub(crate) status: watch::Sender<Status>,
     /// Link addresses of the other entries, as announced on their links.
     pub(crate) entries: BTreeSet<Endpoint>,
@@ -102,6 +101,7 @@
         // link is surplus.
         self.mesh.poll(now, |_| false);
         self.send_heartbeats(now);
+        self.missing.publish(self.table.version(), now);
         self.publish_status(now);
         Ok(self.scheduler.next_poll(now).saturating_sub(now))
     }
--- a/crates/cassiarock-dispatch/src/lib.rs
+++ b/crates/cassiarock-dispatch/src/lib.rs
@@ -12,6 +12,7 @@
 mod learned;
 mod links;
 mod mesh;
+mod missing;
 mod operator;
 mod orders;
 mod reload;
--- a/crates/cassiarock-dispatch/src/run/entry.rs
+++ b/crates/cassiarock-dispatch/src/run/entry.rs
@@ -4,6 +4,7 @@
 use crate::entry::{Batch, Entry, Input};
 use crate::freshness::SharedFreshness;
 use crate::mesh::Mesh;
+use crate::missing::Missing;
 use crate::reload::reload;
 use crate::route_table::SharedTable;
 use crate::{Error, directory, learned, operator};
@@ -25,7 +26,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
@@ -118,13 +119,14 @@
         let received_table = table.subscribe();
         let roster = Roster::new(process.name.clone()).with_links(LINKS_PER_ENTRY);
         let mesh = Mesh::new(roster, identity.clone(), Key::new(KEY), events.clone());
-        let newest_version = Arc::new(AtomicU64::new(0));
+        let missing = Missing::new(settings.apply_limit);
+        let (newest_version, is_outdated) = (missing.newest(), missing.is_outdated());
         let clock = Clock::new();
         let freshness = SharedFreshness::new(clock);
         let actor = Entry::spawn(create_actor(
             mesh,
             table.clone(),
-            newest_version.clone(),
+            missing,
             status,
             orders_store.clone(),
             clock,
@@ -194,7 +196,8 @@
             is_leaving.clone(),
             configuration_deadline,
         )
-        .with_newest_version(newest_version);
+        .with_newest_version(newest_version)
+        .with_is_outdated(is_outdated);
         let (close, closing) = watch::channel(Stage::Run);
         let server = tokio::spawn(serve(listener, callers::router(state), closing));
         Ok(Self {
@@ -252,7 +255,7 @@
 fn create_actor(
     mesh: Mesh,
     table: SharedTable,
-    newest_version: Arc<AtomicU64>,
+    missing: Missing,
     status: watch::Sender<Status>,
     store: Store,
     clock: Clock,
@@ -269,7 +272,7 @@
         clocks: Clocks::new(),
         store,
         table,
-        newest_version,
+        missing,
         status,
         entries: BTreeSet::new(),
         mesh,
--- a/crates/cassiarock-transient/src/lib.rs
+++ b/crates/cassiarock-transient/src/lib.rs
@@ -11,6 +11,7 @@
 mod job;
 pub mod lag;
 pub mod message;
+pub mod missing;
 mod resources;
 pub mod roster;
 pub mod scheduler;
