Count a late answer of the store as a proof only up to its request

Callers (not seen): an answer that was held up on its way made an entry, and through its reports all others, take their orders for fresh, although a change may have come since.

Cause: the proof was dated with the arrival of the answer. Class: the age of knowledge measured from when it arrived.

Fix: an answer without records is dated with the end of its wait, one to a read without a wait with the request.

--- a/crates/cassiarock-dispatch/src/follow.rs
+++ b/crates/cassiarock-dispatch/src/follow.rs
@@ -63,9 +63,10 @@
         }
     }
 
-    fn record_answer(&self) {
+    /// Records an answer that says nothing of the time `age` before now.
+    fn record_answer(&self, age: Duration) {
         if let Self::Fresh(freshness) = self {
-            freshness.record_answer();
+            freshness.record_answer(age);
         }
     }
 
@@ -112,13 +113,13 @@
             }
         };
         match read {
-            Ok(answer) => {
+            Ok((answer, answered_at)) => {
                 let read = answer.report(next, subscription, &mut on_event);
                 next = read.next;
                 backoff.record_success();
                 // Otherwise there are records that have not been read yet.
                 if next.is_some() {
-                    pace.record_answer();
+                    pace.record_answer(answered_at.elapsed());
                 }
                 outage.end();
                 if !read.is_empty {
@@ -245,15 +246,16 @@
 }
 
 /// Reads from `next` on, or the newest records if it is `None`, and repeats the read beside its
-/// unanswered attempts, with a call of `on_silence` before each. The first answer counts; an error
-/// is returned when no other attempt is left.
+/// unanswered attempts, with a call of `on_silence` before each. The first answer counts, and is
+/// returned with the earliest time at which the store may have sent it; an error is returned when
+/// no other attempt is left.
 async fn read_hedged(
     store: &Store,
     subscription: Subscription,
     next: Option<u64>,
     wait: Duration,
     mut on_silence: impl FnMut(u32),
-) -> Result<Answer, Error> {
+) -> Result<(Answer, Instant), Error> {
     let topic = subscription.topic;
     let mut sent = 1;
     let mut attempts = FuturesUnordered::new();
@@ -286,17 +288,21 @@
     subscription: Subscription,
     next: Option<u64>,
     wait: Duration,
-) -> Result<Answer, Error> {
+) -> Result<(Answer, Instant), Error> {
     let topic = subscription.topic;
     let partition = Partition { topic, number: 0 };
+    let sent_at = Instant::now();
     let Some(next) = next else {
         let (records, end) = store.read_newest(partition).await?;
-        return Ok(Answer::Newest(records, end));
+        return Ok((Answer::Newest(records, end), sent_at));
     };
     let read = store.read(partition, next, wait, subscription.max_read_kb);
     match read.await {
-        Ok(batch) => Ok(Answer::Batch(batch)),
-        Err(error) if error.is_expired() => Ok(Answer::Expired),
+        // The store sends records as they are written, but nothing only when the wait has ended.
+        Ok(batch) if batch.records.is_empty() => Ok((Answer::Batch(batch), sent_at + wait)),
+        Ok(batch) if wait.is_zero() => Ok((Answer::Batch(batch), sent_at)),
+        Ok(batch) => Ok((Answer::Batch(batch), Instant::now())),
+        Err(error) if error.is_expired() => Ok((Answer::Expired, sent_at)),
         Err(error) => Err(error),
     }
 }
--- a/crates/cassiarock-dispatch/src/freshness.rs
+++ b/crates/cassiarock-dispatch/src/freshness.rs
@@ -45,9 +45,10 @@
         });
     }
 
-    pub(crate) fn record_answer(&self) {
-        let now = self.now();
-        self.state.send_modify(|state| state.record_answer(now));
+    /// Records that the store sent an answer `age` ago or later.
+    pub(crate) fn record_answer(&self, age: Duration) {
+        let at = self.now().saturating_sub(age);
+        self.state.send_modify(|state| state.record_answer(at));
     }
 
     pub(crate) fn record_failure(&self) {
--- a/crates/cassiarock-dispatch/tests/operator.rs
+++ b/crates/cassiarock-dispatch/tests/operator.rs
@@ -15,6 +15,7 @@
 use cassiarock_adapter::Store;
 use cassiarock_process::Clock;
 use cassiarock_test_support::log::Stand;
+use cassiarock_test_support::proxy::{Direction, Fault, Proxy, Scope};
 use cassiarock_transient::RouteTable;
 use cassiarock_transient::table::RequestLimits;
 use freshness::SharedFreshness;
@@ -121,3 +122,34 @@
         idle_timeout: Duration::from_secs(15),
     }
 }
+
+// An answer that is held up on its way says nothing of the time since the store has sent it.
+#[tokio::test]
+async fn a_late_answer_of_the_store_proves_orders_only_up_to_its_request() {
+    let held_up = Duration::from_millis(400);
+    let stand = Stand::start().await.unwrap();
+    publish(&stand, 1);
+    let address = stand.url().trim_start_matches("http://").parse().unwrap();
+    let proxy = Proxy::new().unwrap().with_target(address);
+    proxy.set(Scope::All, Direction::Down, Fault::Delay(held_up));
+    let table = SharedTable::new();
+    let (updates, _received) = mpsc::channel(8);
+    let freshness = SharedFreshness::new(Clock::new());
+    let store = Store::new(proxy.url()).unwrap();
+    tokio::spawn(follow_orders(
+        store,
+        freshness.clone(),
+        table.clone(),
+        updates,
+    ));
+    let age = async {
+        loop {
+            if let Some(age) = freshness.age() {
+                return age;
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    let age = timeout(IN_FORCE, age).await.unwrap();
+    assert!(age >= held_up, "{age:?}");
+}
--- a/crates/cassiarock-transient/src/freshness.rs
+++ b/crates/cassiarock-transient/src/freshness.rs
@@ -155,20 +155,21 @@
         Self::default()
     }
 
-    /// Records that the store answered a read, which it does only with all orders so far.
+    /// Records that the store answered a read at the time `at` or later, which it does only with all
+    /// orders so far.
     ///
     /// Of two entries with short waits, the one whose answer follows the other's more closely goes
     /// back to long waits.
-    pub fn record_answer(&mut self, now: Duration) {
+    pub fn record_answer(&mut self, at: Duration) {
         let is_redundant = self
             .proof
-            .is_some_and(|proof| proof.hops > 0 && now.saturating_sub(proof.at) < SHORT_WAIT / 2);
+            .is_some_and(|proof| proof.hops > 0 && at.saturating_sub(proof.at) < SHORT_WAIT / 2);
         if is_redundant {
             self.is_watching = false;
         }
         self.is_suspect = false;
         self.has_missed = false;
-        self.proof = Some(Proof { at: now, hops: 0 });
+        self.proof = Some(Proof { at, hops: 0 });
     }
 
     /// Records that a read failed or was given up.
