Ask a store that was away for the directory within a second

Callers (not seen): after a long outage of the store an agent without a link does not find new entries, and an entry that started meanwhile is not announced, for up to 12 s.

Cause: pauses that double up to 12 s, made for a bound of 17 s; the same class as in the reads of the configuration: how often a failure is retried decided how late the recovery is noticed.

Fix: the pause is at most a second, as for the reads that follow a topic.

--- a/crates/cassiarock-dispatch/src/directory.rs
+++ b/crates/cassiarock-dispatch/src/directory.rs
@@ -1,7 +1,7 @@
 //! The directory of entries: a topic of the platform's store with the link address of each entry.
 
 use crate::agent::Input;
-use crate::follow::{Pace, Subscription, TopicEvent, follow};
+use crate::follow::{MAX_RETRY_PAUSE, Pace, Subscription, TopicEvent, follow};
 use cassiarock_adapter::store::{KeyedRecord, Partition, encode_keyed};
 use cassiarock_adapter::{Error, Store};
 use cassiarock_id::{Name, Process, Wall};
@@ -68,7 +68,8 @@
             // The append may have taken effect. A second record of the same key does no harm.
             Err(error) => {
                 log::warn!("cannot announce this entry: {error}");
-                tokio::time::sleep(backoff.record_failure(rand::random())).await;
+                let pause = backoff.record_failure(rand::random());
+                tokio::time::sleep(pause.min(MAX_RETRY_PAUSE)).await;
             }
         }
     }
@@ -190,7 +191,7 @@
             }
             Err(error) => {
                 log::warn!(dependency = "store", topic = TOPIC; "lost: {error}");
-                backoff.record_failure(rand::random())
+                backoff.record_failure(rand::random()).min(MAX_RETRY_PAUSE)
             }
         };
         // Spreads the reads: with a data centre's network, all agents lose their links at once.
--- a/crates/cassiarock-dispatch/src/follow.rs
+++ b/crates/cassiarock-dispatch/src/follow.rs
@@ -138,7 +138,7 @@
 
 /// The longest pause between two attempts. Entries must learn of a change within two seconds, also
 /// when the store has just become reachable again.
-const MAX_RETRY_PAUSE: Duration = Duration::from_secs(1);
+pub(crate) const MAX_RETRY_PAUSE: Duration = Duration::from_secs(1);
 
 /// The time for which the store has not answered reads of a topic, for the log.
 struct Outage {
--- a/tests/platform/directory.rs
+++ b/tests/platform/directory.rs
@@ -3,7 +3,7 @@
 use crate::site::{DIRECTORY as TOPIC, Site};
 use cassiarock_test_support::log::Stand;
 use cassiarock_transient::roster::LINKS_PER_ENTRY;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::net::TcpListener;
 use tokio::time::timeout;
 
@@ -143,3 +143,38 @@
     }
     assert!(links.iter().all(|count| *count < ENTRIES - 1), "{links:?}");
 }
+
+/// An outage of the store, long enough for pauses that double to exceed `RECOVERED`.
+const OUTAGE: Duration = Duration::from_secs(9);
+
+/// After an outage, processes have this long to be well again.
+const RECOVERED: Duration = Duration::from_secs(3);
+
+#[tokio::test]
+async fn an_entry_that_started_during_an_outage_announces_itself_soon_after_it() {
+    let mut site = Site::start_entries(1).await;
+    assert!(until(|| !site.store.keys(TOPIC).is_empty()).await);
+    let address = site.store.keys(TOPIC).remove(0);
+    site.entries[0].process.kill();
+    put_value(&site.store, &address, b"");
+    site.entries[0].door.with_fault(|fault| fault.down = true);
+    site.entries[0].restart();
+    tokio::time::sleep(OUTAGE).await;
+    site.entries[0].door.with_fault(|fault| fault.down = false);
+    let ended = Instant::now();
+    assert!(until(|| site.store.keys(TOPIC).contains(&address)).await);
+    assert!(ended.elapsed() < RECOVERED, "{:?}", ended.elapsed());
+}
+
+#[tokio::test]
+async fn an_agent_without_a_link_finds_a_new_entry_soon_after_an_outage() {
+    let mut site = Site::start(1, 1).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    put(&site.store, &address, 0);
+    site.entries[0].process.kill();
+    tokio::time::sleep(OUTAGE).await;
+    site.agents[0].door.with_fault(|fault| fault.down = false);
+    let dialled = timeout(RECOVERED, listener.accept()).await;
+    assert!(dialled.is_ok(), "{}", site.agents[0].process.output());
+}
