Name the sending entry in the line about a configuration that cannot be decoded

The line lost the name of the entry that sent the copy when its metric was added; a copy that was unpacked but not decoded never had it. Found by reading the change; the tests of both packages and the linter pass.

--- a/crates/cassiarock-dispatch/src/entry/links.rs
+++ b/crates/cassiarock-dispatch/src/entry/links.rs
@@ -96,9 +96,9 @@
                     Ok(text) => {
                         let asked_at = self.lag.asked_at().unwrap_or(now);
                         let age = now.saturating_sub(asked_at);
-                        self.apply_copy(&text, age);
+                        self.apply_copy(&peer.process, &text, age);
                     }
-                    Err(error) => ignore_configuration("another entry", &error),
+                    Err(error) => ignore_configuration("another entry", &peer.process, &error),
                 }
                 Vec::new()
             }
--- a/crates/cassiarock-dispatch/src/entry/orders.rs
+++ b/crates/cassiarock-dispatch/src/entry/orders.rs
@@ -53,9 +53,9 @@
         }
     }
 
-    /// Applies the copy of a configuration that another entry sent. `age` is the time since it was
+    /// Applies the copy of a configuration that the entry `from` sent. `age` is the time since it was
     /// asked for.
-    pub(super) fn apply_copy(&mut self, text: &Name, age: Duration) {
+    pub(super) fn apply_copy(&mut self, from: &Process, text: &Name, age: Duration) {
         match configuration::decode(text) {
             Ok(table) => {
                 let version = table.version;
@@ -63,7 +63,7 @@
                 self.table.adopt(table, "another entry", age, unproved);
                 self.set_configuration(version, text);
             }
-            Err(error) => ignore_configuration("another entry", &error),
+            Err(error) => ignore_configuration("another entry", from, &error),
         }
     }
 
--- a/crates/cassiarock-dispatch/src/operator.rs
+++ b/crates/cassiarock-dispatch/src/operator.rs
@@ -7,6 +7,8 @@
 use cassiarock_adapter::{Store, configuration};
 use cassiarock_id::Name;
 use cassiarock_transient::evacuation;
+use std::error::Error;
+use std::fmt::Display;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
@@ -76,14 +78,15 @@
                 self.configuration = Some((routes.version, text));
                 table.adopt(routes, "the store", read_at.elapsed(), unproved);
             }
-            Err(error) => ignore_configuration("the store", &error),
+            Err(error) => ignore_configuration("the store", &"the store", &error),
         }
     }
 }
 
 /// Logs a configuration that cannot be decoded. The one before it stays in force.
-pub(crate) fn ignore_configuration(from: &'static str, error: &dyn std::error::Error) {
-    log::warn!(from = from; "configuration ignored: {error}");
+/// `sender` is the entry that sent it, or the same as `from`.
+pub(crate) fn ignore_configuration(from: &'static str, sender: &dyn Display, error: &dyn Error) {
+    log::warn!(from:% = sender; "configuration ignored: {error}");
     metrics::counter!("cassiarock_configurations_ignored_total", "from" => from).increment(1);
 }
 
