--- a/crates/cassiarock-transient/src/scheduler/active_job.rs
+++ b/crates/cassiarock-transient/src/scheduler/active_job.rs
@@ -1,7 +1,7 @@
 //! The state of a job between its admission and its answer.
 
-use super::crash::{self, Loss};
-use super::rank::Rank;
+use super::fault::crash::{self, Loss};
+use super::queue::rank::Rank;
 use crate::message::Attempt;
 use crate::{Job, JobClass};
 use cassiarock_id::{Name, Process};
--- a/crates/cassiarock-transient/src/scheduler/crash.rs
+++ b/crates/cassiarock-transient/src/scheduler/fault/crash.rs
@@ -8,24 +8,24 @@
 //! An upstream that is lost has not always crashed: it may be cut off, or hang. Its next
 //! incarnation confirms a crash; an answer of the same incarnation refutes it.
 
-use super::active_job::{ActiveJob, Task};
 use crate::Incarnation;
 use crate::message::Attempt;
+use crate::scheduler::active_job::{ActiveJob, Task};
 use cassiarock_id::{Name, Process};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
 
 /// The number of confirmed crashes under a task with which it is given up. With as many unsettled
 /// losses it waits.
-pub(super) const MAX_CRASHES: usize = 2;
+pub(in crate::scheduler) const MAX_CRASHES: usize = 2;
 
 /// How long a task that may have crashed `MAX_CRASHES` upstreams waits for these to be confirmed
 /// or refuted.
-pub(super) const VERDICT_TIMEOUT: Duration = Duration::from_millis(1_500);
+pub(in crate::scheduler) const VERDICT_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// A suspect that was refused this often, by agents that run another suspect of the same loss, may
 /// run beside one: there are too few other upstreams.
-pub(super) const MAX_REFUSALS: u32 = 3;
+pub(in crate::scheduler) const MAX_REFUSALS: u32 = 3;
 
 /// Upstreams that are lost within `COMMON_LOSS_WINDOW` of each other have a common cause, such as
 /// a power loss of their rack, if they are at least this many ...
@@ -46,17 +46,17 @@
 
 /// The loss of an upstream that ran a task, which may have crashed it.
 #[derive(Clone, Debug)]
-pub(super) struct Loss {
+pub(in crate::scheduler) struct Loss {
     /// The agent whose upstream was lost.
-    pub(super) agent: Process,
-    pub(super) at: Duration,
+    pub(in crate::scheduler) agent: Process,
+    pub(in crate::scheduler) at: Duration,
     /// Whether it was a crash: another incarnation of the upstream has started.
-    pub(super) is_confirmed: bool,
+    pub(in crate::scheduler) is_confirmed: bool,
 }
 
 /// What became of an upstream that was lost.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum Verdict {
+pub(in crate::scheduler) enum Verdict {
     /// It has started again.
     Crashed,
     /// It answers again and has run all the time.
@@ -65,7 +65,7 @@
 
 impl Verdict {
     /// Applies the verdict on the upstream of `agent` to the crashes under a task.
-    pub(super) fn apply(self, crashes: &mut Vec<Loss>, agent: &Process) {
+    pub(in crate::scheduler) fn apply(self, crashes: &mut Vec<Loss>, agent: &Process) {
         match self {
             Self::Crashed => {
                 let last = crashes.iter_mut().rfind(|crash| crash.agent == *agent);
@@ -80,7 +80,7 @@
 
 /// The upstreams lost within `COMMON_LOSS_WINDOW`, and the crashes under the tasks of recent jobs.
 #[derive(Debug, Default)]
-pub(super) struct Crashes {
+pub(in crate::scheduler) struct Crashes {
     losses: VecDeque<(Duration, Process)>,
     jobs: HashMap<Name, JobCrashes>,
     /// The incarnations that were lost and not heard of since, by their agents.
@@ -97,7 +97,7 @@
 impl Crashes {
     /// Records that an upstream was lost with its tasks, and returns whether one of the tasks may
     /// be the cause.
-    pub(super) fn record_loss(
+    pub(in crate::scheduler) fn record_loss(
         &mut self,
         agent: &Process,
         agent_count: usize,
@@ -118,7 +118,10 @@
     }
 
     /// Clears the crashes of upstreams that turned out to be lost by a common cause.
-    pub(super) fn clear_common<'a>(&mut self, active: impl Iterator<Item = &'a mut ActiveJob>) {
+    pub(in crate::scheduler) fn clear_common<'a>(
+        &mut self,
+        active: impl Iterator<Item = &'a mut ActiveJob>,
+    ) {
         let is_sole = |crash: &Loss| self.losses.iter().all(|(_, lost)| *lost != crash.agent);
         for task in active.flat_map(|job| job.tasks.iter_mut().flatten()) {
             task.settle(|crashes| crashes.retain(is_sole));
@@ -133,13 +136,13 @@
     }
 
     /// Records which incarnation an agent has lost, until [`Self::settle`] knows what became of it.
-    pub(super) fn await_verdict(&mut self, agent: &Process, lost: Incarnation) {
+    pub(in crate::scheduler) fn await_verdict(&mut self, agent: &Process, lost: Incarnation) {
         self.unsettled.insert(agent.clone(), lost);
     }
 
     /// Returns what became of the upstream that an agent has lost, if that is known now: its
     /// `present` incarnation is another one, or the same and `answers`.
-    pub(super) fn settle(
+    pub(in crate::scheduler) fn settle(
         &mut self,
         agent: &Process,
         present: &Incarnation,
@@ -161,19 +164,19 @@
     }
 
     /// Stops waiting for news of the upstream of an agent that is lost itself.
-    pub(super) fn forget_agent(&mut self, agent: &Process) {
+    pub(in crate::scheduler) fn forget_agent(&mut self, agent: &Process) {
         self.unsettled.remove(agent);
     }
 
     /// Forgets the crashes under a task that has been done since.
-    pub(super) fn forget(&mut self, job: &Name, stage: usize, index: usize) {
+    pub(in crate::scheduler) fn forget(&mut self, job: &Name, stage: usize, index: usize) {
         if let Some(record) = self.jobs.get_mut(job) {
             record.tasks.remove(&(stage, index));
         }
     }
 
     /// Whether no crash within `RETENTION` is known.
-    pub(super) fn is_empty(&self, now: Duration) -> bool {
+    pub(in crate::scheduler) fn is_empty(&self, now: Duration) -> bool {
         let mut jobs = self.jobs.values();
         jobs.all(|job| now >= job.last_crash + RETENTION)
     }
@@ -181,7 +184,7 @@
     /// Records a crash under a task. A crash within `COMMON_LOSS_WINDOW` of the last one has the
     /// same cause and is not counted: the task was placed again on the next upstream that was
     /// about to be lost.
-    pub(super) fn add(
+    pub(in crate::scheduler) fn add(
         &mut self,
         job: &Name,
         attempt: &Attempt,
@@ -215,7 +218,7 @@
     }
 
     /// Restores the crashes under the tasks of a job that is submitted again.
-    pub(super) fn restore(&self, active: &mut ActiveJob, now: Duration) {
+    pub(in crate::scheduler) fn restore(&self, active: &mut ActiveJob, now: Duration) {
         let record = self.jobs.get(&active.job.id);
         let Some(record) = record.filter(|record| now < record.last_crash + RETENTION) else {
             return;
@@ -234,7 +237,9 @@
 }
 
 /// The agents that run suspects.
-pub(super) fn suspect_agents<'a>(active: impl Iterator<Item = &'a ActiveJob>) -> BTreeSet<Process> {
+pub(in crate::scheduler) fn suspect_agents<'a>(
+    active: impl Iterator<Item = &'a ActiveJob>,
+) -> BTreeSet<Process> {
     let tasks = active.flat_map(|job| job.tasks.iter().flatten());
     let suspects = tasks.filter(|task| !task.crashes.is_empty());
     suspects.filter_map(|task| task.agent().cloned()).collect()
--- a/crates/cassiarock-transient/src/scheduler/eject.rs
+++ b/crates/cassiarock-transient/src/scheduler/fault/eject.rs
@@ -1,6 +1,6 @@
 //! Ejection of upstreams whose recent tasks failed.
 
-use super::Scheduler;
+use crate::scheduler::Scheduler;
 use cassiarock_id::Process;
 
 /// An upstream with this share of failed tasks, in hundredths, is ejected. A sound one fails one
@@ -26,7 +26,7 @@
 
     /// Ejects the upstreams that fail most, up to a maximum. An agent forgets how tasks ended
     /// after three seconds, so an upstream that gets no work for that long is tried again.
-    pub(super) fn update_ejections(&mut self) {
+    pub(in crate::scheduler) fn update_ejections(&mut self) {
         self.median_pace = self.compute_median_pace();
         let max_ejected = if self.mechanisms.ejection {
             self.agents.len() / MAX_EJECTED_DIVISOR
--- a/crates/cassiarock-transient/src/scheduler/lost.rs
+++ b/crates/cassiarock-transient/src/scheduler/fault/lost.rs
@@ -1,10 +1,10 @@
 //! Recovery of tasks from agents that are lost or come back.
 
-use super::active_job::ActiveJob;
-use super::endings::place_again;
-use super::{Action, Scheduler};
 use crate::Decision;
 use crate::message::{Attempt, Message, Outcome};
+use crate::scheduler::active_job::ActiveJob;
+use crate::scheduler::endings::place_again;
+use crate::scheduler::{Action, Scheduler};
 use cassiarock_id::Process;
 use std::time::Duration;
 
@@ -12,7 +12,7 @@
     /// Compares the attempts that an agent reports on a new link with those placed there. Attempts
     /// that it does not have are placed again: either their order was lost on the way, or the
     /// report of their end was lost with the old link. Attempts that nobody waits for are stopped.
-    pub(super) fn reconcile(
+    pub(in crate::scheduler) fn reconcile(
         &mut self,
         from: &Process,
         held: &[Attempt],
@@ -36,7 +36,7 @@
     }
 
     /// Queues the tasks of lost agents for another agent, once they must have ended there.
-    pub(super) fn reclaim(&mut self, now: Duration, actions: &mut Vec<Action>) {
+    pub(in crate::scheduler) fn reclaim(&mut self, now: Duration, actions: &mut Vec<Action>) {
         let lost: Vec<Process> = self
             .agents
             .iter()
@@ -58,7 +58,7 @@
     }
 
     /// The attempts that are placed at an agent.
-    pub(super) fn placed_at(&self, agent: &Process) -> Vec<Attempt> {
+    pub(in crate::scheduler) fn placed_at(&self, agent: &Process) -> Vec<Attempt> {
         let jobs = self.jobs.values();
         let placed = jobs.flat_map(ActiveJob::placed);
         placed
--- a/crates/cassiarock-transient/src/scheduler/overdue.rs
+++ b/crates/cassiarock-transient/src/scheduler/fault/overdue.rs
@@ -1,9 +1,9 @@
 //! Moving of overdue tasks away from slow upstreams.
 
-use super::active_job::Phase;
-use super::choose::SLOW_PACE;
-use super::{Action, Scheduler, job_decision};
 use crate::message::{Attempt, Message};
+use crate::scheduler::active_job::Phase;
+use crate::scheduler::placement::choose::SLOW_PACE;
+use crate::scheduler::{Action, Scheduler, job_decision};
 use cassiarock_id::Process;
 use std::time::Duration;
 
@@ -19,7 +19,11 @@
 impl Scheduler {
     /// Moves overdue tasks away from slow upstreams. Either the upstream has become slow, or its
     /// tasks stand still while it reports that it is healthy.
-    pub(super) fn move_overdue_tasks(&mut self, now: Duration, actions: &mut Vec<Action>) {
+    pub(in crate::scheduler) fn move_overdue_tasks(
+        &mut self,
+        now: Duration,
+        actions: &mut Vec<Action>,
+    ) {
         if !self.mechanisms.moving {
             return;
         }
--- a/crates/cassiarock-transient/src/scheduler/ask.rs
+++ b/crates/cassiarock-transient/src/scheduler/placement/ask.rs
@@ -3,11 +3,11 @@
 //! In a nearly full system with several entries, an agent that knows what each entry waits for
 //! offers the room that becomes free to the most urgent job.
 
-use super::active_job::{ActiveJob, Phase};
-use super::agent::Agent;
 use super::choose::is_eligible;
-use super::{Action, Scheduler};
 use crate::message::CapacityRequest;
+use crate::scheduler::active_job::{ActiveJob, Phase};
+use crate::scheduler::agent::Agent;
+use crate::scheduler::{Action, Scheduler};
 use cassiarock_id::Process;
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -21,7 +21,7 @@
 
 /// The job that an entry would place next if it had room.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct NextJob<'a> {
+pub(in crate::scheduler) struct NextJob<'a> {
     active: &'a ActiveJob,
     stage: usize,
     ask: CapacityRequest,
@@ -29,7 +29,11 @@
 
 impl NextJob<'_> {
     /// What to ask an agent for; `None` if it could not run the job's tasks.
-    pub(super) fn ask_of(&self, agent: &Agent, now: Duration) -> Option<CapacityRequest> {
+    pub(in crate::scheduler) fn ask_of(
+        &self,
+        agent: &Agent,
+        now: Duration,
+    ) -> Option<CapacityRequest> {
         let stage = &self.active.job.stages[self.stage];
         is_eligible(self.active, stage, agent, now).then_some(self.ask)
     }
@@ -37,7 +41,7 @@
 
 impl Scheduler {
     /// The job that this entry would place next if it had room.
-    pub(super) fn next_job(&self, now: Duration) -> Option<NextJob<'_>> {
+    pub(in crate::scheduler) fn next_job(&self, now: Duration) -> Option<NextJob<'_>> {
         if !self.mechanisms.asking {
             return None;
         }
@@ -61,7 +65,7 @@
     /// Asks some agents for room for the first job of the queue, unless agents were asked for it
     /// within `ASK_INTERVAL`, and releases offered room that is not used. The agents in `ordered`
     /// were told of both with their orders.
-    pub(super) fn ask_for_room(
+    pub(in crate::scheduler) fn ask_for_room(
         &mut self,
         ordered: &BTreeSet<Process>,
         now: Duration,
--- a/crates/cassiarock-transient/src/scheduler/choose.rs
+++ b/crates/cassiarock-transient/src/scheduler/placement/choose.rs
@@ -1,9 +1,9 @@
 //! The choice of an agent for a task.
 
-use super::Scheduler;
-use super::active_job::ActiveJob;
-use super::agent::Agent;
 use crate::message::Start;
+use crate::scheduler::Scheduler;
+use crate::scheduler::active_job::ActiveJob;
+use crate::scheduler::agent::Agent;
 use crate::{Resources, Stage};
 use cassiarock_id::Process;
 use std::collections::BTreeMap;
@@ -12,7 +12,7 @@
 /// An upstream is slow if its tasks run this many times as long as at the median one. It gets no
 /// tasks that would be late there, and overdue tasks are moved away from it. The kinds of upstream
 /// differ by less.
-pub(super) const SLOW_PACE: f64 = 1.8;
+pub(in crate::scheduler) const SLOW_PACE: f64 = 1.8;
 
 /// The factor by which tasks run longer away from the rack of their data, as at the users' sites.
 const REMOTE_DATA_FACTOR: f64 = 1.5;
@@ -31,7 +31,7 @@
 
 impl Scheduler {
     /// Chooses the agent where a task should end first.
-    pub(super) fn choose_agent(
+    pub(in crate::scheduler) fn choose_agent(
         &self,
         active: &ActiveJob,
         stage: usize,
@@ -86,7 +86,12 @@
 }
 
 /// Whether tasks of the stage may be placed on the agent, whatever room it has.
-pub(super) fn is_eligible(active: &ActiveJob, stage: &Stage, agent: &Agent, now: Duration) -> bool {
+pub(in crate::scheduler) fn is_eligible(
+    active: &ActiveJob,
+    stage: &Stage,
+    agent: &Agent,
+    now: Duration,
+) -> bool {
     let label = stage.label.as_ref();
     agent.is_open(now)
         && !agent.is_ejected
--- /dev/null
+++ b/crates/cassiarock-transient/src/scheduler/placement/mod.rs
@@ -0,0 +1,8 @@
+//! On which agents tasks are placed.
+
+mod ask;
+pub(super) mod choose;
+mod place;
+pub(super) mod placement_rate;
+pub(super) mod run_time;
+pub(super) mod upstream_kinds;
--- a/crates/cassiarock-transient/src/scheduler/place.rs
+++ b/crates/cassiarock-transient/src/scheduler/placement/place.rs
@@ -1,11 +1,11 @@
 //! Placement of waiting tasks on agents.
 
-use super::active_job::{ActiveJob, Phase, core_millis};
 use super::choose::is_eligible;
-use super::crash::suspect_agents;
-use super::{Action, Latency, Scheduler, job_decision};
 use crate::Decision;
 use crate::message::{Order, Start};
+use crate::scheduler::active_job::{ActiveJob, Phase, core_millis};
+use crate::scheduler::fault::crash::suspect_agents;
+use crate::scheduler::{Action, Latency, Scheduler, job_decision};
 use cassiarock_id::Process;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -16,7 +16,7 @@
 
 impl Scheduler {
     /// Places waiting tasks in the order of the queue, and asks for room for those that remain.
-    pub(super) fn place(&mut self, now: Duration, actions: &mut Vec<Action>) {
+    pub(in crate::scheduler) fn place(&mut self, now: Duration, actions: &mut Vec<Action>) {
         if self.queue.is_empty() {
             self.ask_for_room(&BTreeSet::new(), now, actions);
             return;
--- a/crates/cassiarock-transient/src/scheduler/placement_rate.rs
+++ b/crates/cassiarock-transient/src/scheduler/placement/placement_rate.rs
@@ -8,7 +8,7 @@
 
 /// The cores that the entry's tasks take up, as an exponentially decaying mean.
 #[derive(Clone, Copy, Debug, Default)]
-pub(super) struct PlacementRate {
+pub(in crate::scheduler) struct PlacementRate {
     /// Placed core-milliseconds, decayed up to `updated`.
     sum: f64,
     updated: Duration,
@@ -16,13 +16,13 @@
 
 impl PlacementRate {
     /// Records that work of so many core-milliseconds was placed.
-    pub(super) fn add(&mut self, core_millis: f64, now: Duration) {
+    pub(in crate::scheduler) fn add(&mut self, core_millis: f64, now: Duration) {
         self.sum = self.decayed_sum(now) + core_millis;
         self.updated = now;
     }
 
     /// The rate in cores.
-    pub(super) fn cores(&self, now: Duration) -> f64 {
+    pub(in crate::scheduler) fn cores(&self, now: Duration) -> f64 {
         self.decayed_sum(now) / WINDOW.as_secs_f64() / 1000.0
     }
 
--- a/crates/cassiarock-transient/src/scheduler/run_time.rs
+++ b/crates/cassiarock-transient/src/scheduler/placement/run_time.rs
@@ -14,16 +14,16 @@
 
 /// The learned ratio of each route.
 #[derive(Clone, Debug, Default)]
-pub(super) struct RunTimeRatios(HashMap<Name, f64>);
+pub(in crate::scheduler) struct RunTimeRatios(HashMap<Name, f64>);
 
 impl RunTimeRatios {
     /// The ratio of `route`; 1 while nothing is known.
-    pub(super) fn ratio(&self, route: &str) -> f64 {
+    pub(in crate::scheduler) fn ratio(&self, route: &str) -> f64 {
         self.0.get(route).copied().unwrap_or(1.0)
     }
 
     /// Adds the ratio of a task that is done to the mean of its route.
-    pub(super) fn observe(&mut self, route: &Name, ratio: f64) {
+    pub(in crate::scheduler) fn observe(&mut self, route: &Name, ratio: f64) {
         if self.0.len() >= MAX_ROUTES && !self.0.contains_key(route) {
             self.0.clear();
         }
--- a/crates/cassiarock-transient/src/scheduler/upstream_kinds.rs
+++ b/crates/cassiarock-transient/src/scheduler/placement/upstream_kinds.rs
@@ -13,10 +13,10 @@
 /// A job is called impossible only if it fits none of them. An upstream that is merely away must
 /// not make a job impossible: callers take that for a fault of their own and do not come back.
 #[derive(Clone, Debug, Default)]
-pub(super) struct UpstreamKinds(Vec<(Name, Resources)>);
+pub(in crate::scheduler) struct UpstreamKinds(Vec<(Name, Resources)>);
 
 impl UpstreamKinds {
-    pub(super) fn add(&mut self, upstream: &Upstream) {
+    pub(in crate::scheduler) fn add(&mut self, upstream: &Upstream) {
         let covers = |of: &Name, capacity: &Resources, other: &(Name, Resources)| {
             *of == other.0 && other.1.fits_in(capacity)
         };
@@ -36,7 +36,7 @@
     }
 
     /// Whether any upstream of the service ever had the capacity for `demand`.
-    pub(super) fn has_room_for(&self, service: &str, demand: &Resources) -> bool {
+    pub(in crate::scheduler) fn has_room_for(&self, service: &str, demand: &Resources) -> bool {
         let mut kinds = self.0.iter().filter(|(of, _)| &**of == service);
         kinds.any(|(_, capacity)| demand.fits_in(capacity))
     }
--- a/crates/cassiarock-transient/src/scheduler/admit.rs
+++ b/crates/cassiarock-transient/src/scheduler/queue/admit.rs
@@ -4,8 +4,9 @@
 //! it would make every job late. A job is refused at once if the work queued before it would make
 //! it late.
 
-use super::active_job::{ActiveJob, Phase};
-use super::{Answer, Scheduler, job_decision, shutdown};
+use super::shutdown;
+use crate::scheduler::active_job::{ActiveJob, Phase};
+use crate::scheduler::{Answer, Scheduler, job_decision};
 use crate::{Decision, Resources};
 use std::time::Duration;
 
@@ -32,7 +33,7 @@
 
 impl Scheduler {
     /// Decides whether to admit a job. An error holds the answer to the caller.
-    pub(super) fn admit(
+    pub(in crate::scheduler) fn admit(
         &self,
         active: &ActiveJob,
         now: Duration,
@@ -125,7 +126,7 @@
     }
 
     /// A refusal. A random part of up to a half is added to the pause.
-    pub(super) fn refusal(&self, retry_after: Duration, is_overload: bool) -> Answer {
+    pub(in crate::scheduler) fn refusal(&self, retry_after: Duration, is_overload: bool) -> Answer {
         let spread = retry_after.mul_f64(self.random.below(0.5));
         Answer::Refused {
             retry_after: retry_after + spread,
--- a/crates/cassiarock-transient/src/scheduler/expire.rs
+++ b/crates/cassiarock-transient/src/scheduler/queue/expire.rs
@@ -3,8 +3,8 @@
 //! Under overload, a job that cannot be on time any more is refused at once if nothing of it has
 //! run, so that its caller learns when to come back and its room goes to a job that can.
 
-use super::active_job::ActiveJob;
-use super::{Action, Answer, Scheduler, job_decision};
+use crate::scheduler::active_job::ActiveJob;
+use crate::scheduler::{Action, Answer, Scheduler, job_decision};
 use std::time::Duration;
 
 /// The least pause for the caller of a job that was given up before it started.
@@ -12,7 +12,11 @@
 
 impl Scheduler {
     /// Ends the jobs that cannot be done in time any more, and answers their callers.
-    pub(super) fn end_hopeless_jobs(&mut self, now: Duration, actions: &mut Vec<Action>) {
+    pub(in crate::scheduler) fn end_hopeless_jobs(
+        &mut self,
+        now: Duration,
+        actions: &mut Vec<Action>,
+    ) {
         let hopeless: Vec<u64> = self
             .jobs
             .values()
@@ -32,7 +36,11 @@
 
     /// Handles the jobs whose latest start passed while they waited. A job of which nothing has
     /// run is refused if others wait that can still be on time. Any other is placed after them.
-    pub(super) fn handle_missed_starts(&mut self, now: Duration, actions: &mut Vec<Action>) {
+    pub(in crate::scheduler) fn handle_missed_starts(
+        &mut self,
+        now: Duration,
+        actions: &mut Vec<Action>,
+    ) {
         if !self.mechanisms.expiry {
             return;
         }
@@ -64,7 +72,7 @@
     }
 
     /// Refuses a job of which nothing has run.
-    pub(super) fn refuse(
+    pub(in crate::scheduler) fn refuse(
         &mut self,
         number: u64,
         answer: Answer,
--- /dev/null
+++ b/crates/cassiarock-transient/src/scheduler/queue/mod.rs
@@ -0,0 +1,8 @@
+//! Which jobs are admitted, in which order they are placed, and when they are refused.
+
+mod admit;
+mod expire;
+pub(super) mod patience;
+pub(super) mod rank;
+pub(super) mod reserve;
+mod shutdown;
--- a/crates/cassiarock-transient/src/scheduler/patience.rs
+++ b/crates/cassiarock-transient/src/scheduler/queue/patience.rs
@@ -34,25 +34,25 @@
 
 /// The usual least patience of each route's callers.
 #[derive(Clone, Debug, Default)]
-pub(super) struct Patience(HashMap<Name, Estimate>);
+pub(in crate::scheduler) struct Patience(HashMap<Name, Estimate>);
 
 impl Patience {
     /// Whether a caller with this much patience has waited before it submitted: its earlier
     /// submission was lost with its connection, or its connection took long to open.
-    pub(super) fn has_waited(&self, route: &str, patience: Duration) -> bool {
+    pub(in crate::scheduler) fn has_waited(&self, route: &str, patience: Duration) -> bool {
         let least = self.least(route);
         least.is_some_and(|least| patience < least.mul_f64(WAITED_BELOW))
     }
 
     /// The usual least patience, if enough callers have been seen.
-    pub(super) fn least(&self, route: &str) -> Option<Duration> {
+    pub(in crate::scheduler) fn least(&self, route: &str) -> Option<Duration> {
         let estimate = self.0.get(route)?;
         (estimate.callers >= MIN_CALLERS).then_some(estimate.least)
     }
 
     /// The usual least patience of each route for which it is known, with whether enough callers
     /// were seen to replace what other processes have learned.
-    pub(super) fn iter(&self) -> impl Iterator<Item = (&Name, Duration, bool)> {
+    pub(in crate::scheduler) fn iter(&self) -> impl Iterator<Item = (&Name, Duration, bool)> {
         let known = self.0.iter();
         let known = known.filter(|(_, estimate)| estimate.callers >= MIN_CALLERS);
         known.map(|(route, estimate)| {
@@ -66,7 +66,7 @@
     ///
     /// The callers of a process's first second are not representative: after a loss of all machines
     /// half of them have waited, and the least patience of the first twenty was theirs.
-    pub(super) fn adopt(&mut self, route: &Name, least: Duration) {
+    pub(in crate::scheduler) fn adopt(&mut self, route: &Name, least: Duration) {
         let callers = self.0.get(route).map_or(0, |estimate| estimate.callers);
         if callers < ENOUGH_CALLERS {
             let callers = ENOUGH_CALLERS;
@@ -75,7 +75,7 @@
     }
 
     /// Adds the patience of a caller to the estimate of its route.
-    pub(super) fn observe(&mut self, route: &Name, patience: Duration) {
+    pub(in crate::scheduler) fn observe(&mut self, route: &Name, patience: Duration) {
         if self.0.len() >= MAX_ROUTES && !self.0.contains_key(route) {
             self.0.clear();
         }
--- a/crates/cassiarock-transient/src/scheduler/reserve.rs
+++ b/crates/cassiarock-transient/src/scheduler/queue/reserve.rs
@@ -41,11 +41,11 @@
 
 /// How jobs have fared, by the operators' priority.
 #[derive(Clone, Debug, Default)]
-pub(super) struct Reserve(BTreeMap<u32, Record>);
+pub(in crate::scheduler) struct Reserve(BTreeMap<u32, Record>);
 
 impl Reserve {
     /// Records that a job of this priority arrived.
-    pub(super) fn record_arrival(&mut self, priority: u32, now: Duration) {
+    pub(in crate::scheduler) fn record_arrival(&mut self, priority: u32, now: Duration) {
         if self.0.len() >= MAX_PRIORITIES && !self.0.contains_key(&priority) {
             self.0.clear();
         }
@@ -57,7 +57,7 @@
     }
 
     /// Records that a job of this priority was answered.
-    pub(super) fn record_outcome(&mut self, priority: u32, is_on_time: bool) {
+    pub(in crate::scheduler) fn record_outcome(&mut self, priority: u32, is_on_time: bool) {
         if let Some(record) = self.0.get_mut(&priority) {
             let outcome = f64::from(u8::from(is_on_time));
             record.on_time += (outcome - record.on_time) / MEMORY;
@@ -66,7 +66,7 @@
 
     /// The share of the room that has to be free for a job of this priority to start. It is 0 if
     /// this kind already fares worse than a more urgent one.
-    pub(super) fn share_for(&self, priority: u32, now: Duration) -> f64 {
+    pub(in crate::scheduler) fn share_for(&self, priority: u32, now: Duration) -> f64 {
         let urgent = self.0.range(..priority).map(|(_, record)| record);
         let urgent =
             urgent.filter(|record| now.saturating_sub(record.last_arrival) < ARRIVAL_TIMEOUT);
--- a/crates/cassiarock-transient/src/scheduler/shutdown.rs
+++ b/crates/cassiarock-transient/src/scheduler/queue/shutdown.rs
@@ -1,14 +1,14 @@
 //! Shutdown of an entry: every job gets its answer before the process ends.
 
-use super::active_job::ActiveJob;
-use super::{Action, Answer, Scheduler};
+use crate::scheduler::active_job::ActiveJob;
+use crate::scheduler::{Action, Answer, Scheduler};
 use std::time::Duration;
 
 /// The minimum `Retry-After`, in which another entry can usually take the job.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// The reason in the log for refusing or giving up a job.
-pub(super) const REASON: &str = "shutdown";
+pub(in crate::scheduler) const REASON: &str = "shutdown";
 
 impl Scheduler {
     /// Starts the shutdown. Jobs that cannot end by `deadline` are refused as soon as that is
@@ -28,13 +28,17 @@
     }
 
     /// Whether the process is leaving and has to have answered all callers before `time`.
-    pub(super) fn ends_before(&self, time: Duration) -> bool {
+    pub(in crate::scheduler) fn ends_before(&self, time: Duration) -> bool {
         self.shutdown_deadline
             .is_some_and(|deadline| deadline < time)
     }
 
     /// Ends the jobs that would outlast the process, and answers their callers.
-    pub(super) fn end_jobs_cut_short(&mut self, now: Duration, actions: &mut Vec<Action>) {
+    pub(in crate::scheduler) fn end_jobs_cut_short(
+        &mut self,
+        now: Duration,
+        actions: &mut Vec<Action>,
+    ) {
         if self.shutdown_deadline.is_none() {
             return;
         }
@@ -53,7 +57,7 @@
     }
 
     /// The refusal of a job that would outlast the process.
-    pub(super) fn refused_by_shutdown(&self) -> Answer {
+    pub(in crate::scheduler) fn refused_by_shutdown(&self) -> Answer {
         self.refusal(RETRY_AFTER, false)
     }
 }
