--- a/crates/cassiarock-lab/src/simulation/mod.rs
+++ b/crates/cassiarock-lab/src/simulation/mod.rs
@@ -162,13 +162,7 @@
 
     /// Sends a message. It is lost if the receiving incarnation has ended when it arrives.
     fn send(&mut self, from: Process, to: Process, message: Message) {
-        let is_heartbeat = matches!(
-            message,
-            Message::EntryHeartbeat { .. } | Message::AgentHeartbeat { .. }
-        );
-        if !is_heartbeat {
-            self.tally.frames += 1;
-        }
+        self.tally.record_message(&message);
         let is_local = self.data_centre(&from) == self.data_centre(&to);
         let delay = if is_local {
             LOCAL_LATENCY
--- a/crates/cassiarock-lab/src/simulation/tally.rs
+++ b/crates/cassiarock-lab/src/simulation/tally.rs
@@ -5,6 +5,8 @@
 use crate::scenario::Scenario;
 use crate::score::{Outcome, Scorer};
 use cassiarock_id::Name;
+use cassiarock_transient::Message;
+use cassiarock_transient::message::Outcome as AttemptOutcome;
 use cassiarock_transient::scheduler::Answer;
 use hdrhistogram::Histogram;
 use std::collections::{BTreeMap, HashMap};
@@ -26,7 +28,11 @@
 pub(super) struct Tally {
     outcomes: HashMap<usize, (CallerOutcome, Duration)>,
     /// Messages between entries and agents, without heartbeats.
-    pub(super) frames: u64,
+    frames: u64,
+    /// Tasks ordered from agents.
+    ordered: u64,
+    /// Ordered tasks that agents rejected because their upstream was full.
+    turned_away: u64,
     /// Tasks started on upstreams.
     pub(super) started: u64,
     /// Upstream crashes caused by tasks.
@@ -52,6 +58,25 @@
             .or_insert((CallerOutcome::Unanswered, now));
     }
 
+    /// Counts a message between an entry and an agent.
+    pub(super) fn record_message(&mut self, message: &Message) {
+        match message {
+            Message::EntryHeartbeat { .. } | Message::AgentHeartbeat { .. } => return,
+            Message::Orders { orders, .. } => {
+                let tasks = orders.iter().map(|order| order.tasks.len() as u64);
+                self.ordered += tasks.sum::<u64>();
+            }
+            Message::Ended { results, .. } => {
+                let full = results
+                    .iter()
+                    .filter(|end| end.outcome == AttemptOutcome::Full);
+                self.turned_away += full.count() as u64;
+            }
+            _ => {}
+        }
+        self.frames += 1;
+    }
+
     pub(super) fn record_answer(
         &mut self,
         number: usize,
@@ -129,6 +154,7 @@
                 .collect(),
             wasted_work: 1.0 - self.useful / self.work.max(f64::MIN_POSITIVE),
             refusal_ms: (quantile(0.5), quantile(0.99)),
+            turned_away: share(self.turned_away, self.ordered.max(1)),
             frames_per_task: self.frames as f64 / self.started.max(1) as f64,
             kind_fairness: jain(&shares),
             entry_fairness: jain(
