--- a/crates/cassiarock-transient/src/scheduler/placement/choose.rs
+++ b/crates/cassiarock-transient/src/scheduler/placement/choose.rs
@@ -1,10 +1,11 @@
 //! The choice of an agent for a task.
 
+use super::cost::cost;
+use crate::Stage;
 use crate::message::Start;
 use crate::scheduler::Scheduler;
 use crate::scheduler::active_job::ActiveJob;
 use crate::scheduler::agent::Agent;
-use crate::{Resources, Stage};
 use cassiarock_id::Process;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -14,13 +15,6 @@
 /// differ by less.
 pub(in crate::scheduler) const SLOW_PACE: f64 = 1.8;
 
-/// The factor by which tasks run longer away from the rack of their data, as at the users' sites.
-const REMOTE_DATA_FACTOR: f64 = 1.5;
-
-/// How much slower a full upstream counts than an empty one. This leaves room on each, so that
-/// entries that place at the same time seldom choose the same room.
-const FULLNESS_PENALTY: f64 = 0.3;
-
 /// The bonus of an agent that already gets tasks of the job in this round. Each further agent
 /// costs a message and another copy of the job's specification.
 const SAME_JOB_BONUS: f64 = 0.15;
@@ -113,17 +107,3 @@
     let placed = tasks.filter(|task| task.agent() == Some(process));
     placed.count() < max as usize
 }
-
-/// The expected run time on the agent relative to the median upstream, plus penalties for a full
-/// or failing upstream.
-fn cost(stage: &Stage, agent: &Agent, pace: f64, random: f64) -> f64 {
-    let has_data = stage.rack.as_ref().is_none_or(|rack| agent.has_label(rack));
-    let remote = if has_data { 1.0 } else { REMOTE_DATA_FACTOR };
-    let free = free_share(agent.free(), &agent.capacity());
-    let failing = f64::from(agent.load.failure_percent) / 100.0;
-    pace * remote * (1.0 + FULLNESS_PENALTY * (1.0 - free) + random) + failing
-}
-
-fn free_share(free: &Resources, capacity: &Resources) -> f64 {
-    free.cpu as f64 / capacity.cpu.max(1) as f64
-}
--- a/crates/cassiarock-transient/src/scheduler/placement/mod.rs
+++ b/crates/cassiarock-transient/src/scheduler/placement/mod.rs
@@ -2,6 +2,7 @@
 
 mod ask;
 pub(super) mod choose;
+mod cost;
 mod place;
 pub(super) mod placement_rate;
 pub(super) mod run_time;
