--- a/crates/cassiarock-dispatch/src/entry/calls.rs
+++ b/crates/cassiarock-dispatch/src/entry/calls.rs
@@ -1,9 +1,9 @@
 //! Handles the calls of callers.
 
 use super::Entry;
-use crate::learned::RoutePatience;
+use crate::learned::{Learned, Room, RoutePatience, ServiceRoom};
 use cassiarock_adapter::callers::Call;
-use cassiarock_transient::scheduler::{Action, Answer};
+use cassiarock_transient::scheduler::{Action, Answer, UsualRoom};
 use std::time::Duration;
 use tokio::sync::oneshot;
 
@@ -60,9 +60,16 @@
         actions
     }
 
-    /// Passes the stored patience to the scheduler, which uses it for routes of which it has not seen
-    /// enough callers yet. Returns the values to be stored.
-    pub(super) fn merge_patience(&mut self, known: &RoutePatience) -> RoutePatience {
+    /// Passes what is on record to the scheduler, which uses it until it has seen enough itself.
+    /// Returns what is to be on record.
+    pub(super) fn merge_learned(&mut self, known: &Learned, now: Duration) -> Learned {
+        Learned {
+            patience: self.merge_patience(&known.patience),
+            room: self.merge_room(&known.room, now),
+        }
+    }
+
+    fn merge_patience(&mut self, known: &RoutePatience) -> RoutePatience {
         for (route, millis) in known {
             let least = Duration::from_millis(*millis);
             self.scheduler.adopt_patience(route, least);
@@ -76,4 +83,29 @@
         }
         learned
     }
+
+    fn merge_room(&mut self, known: &ServiceRoom, now: Duration) -> ServiceRoom {
+        for (service, room) in known {
+            let Room {
+                upstreams,
+                cpu,
+                entries,
+            } = *room;
+            let room = UsualRoom {
+                upstreams,
+                cpu,
+                entries,
+            };
+            self.scheduler.adopt_room(service, room);
+        }
+        let seen = self.scheduler.usual_room(now).map(|(service, seen)| {
+            let room = Room {
+                upstreams: seen.upstreams,
+                cpu: seen.cpu,
+                entries: seen.entries,
+            };
+            (service.clone(), room)
+        });
+        known.clone().into_iter().chain(seen).collect()
+    }
 }
--- a/crates/cassiarock-dispatch/src/entry/mod.rs
+++ b/crates/cassiarock-dispatch/src/entry/mod.rs
@@ -6,7 +6,7 @@
 mod report;
 
 use crate::freshness::SharedFreshness;
-use crate::learned::RoutePatience;
+use crate::learned::Learned;
 use crate::mesh::Mesh;
 use crate::missing::Missing;
 use crate::operator::Update;
@@ -45,8 +45,8 @@
     EntryAddress(SocketAddr),
     /// An update of the directory of entries, from the store.
     Directory(directory::Update),
-    /// The stored patience of callers; asks for what is to be stored.
-    Learned(RoutePatience, oneshot::Sender<RoutePatience>),
+    /// What is on record about callers and upstreams; asks for what is to be stored.
+    Learned(Learned, oneshot::Sender<Learned>),
     /// Report not ready, and answer all jobs by this time.
     Leave(Instant),
 }
@@ -126,7 +126,7 @@
             }
             Input::Learned(known, reply) => {
                 // Fails only if the process is ending.
-                let _ = reply.send(self.merge_patience(&known));
+                let _ = reply.send(self.merge_learned(&known, now));
                 Vec::new()
             }
             Input::Leave(deadline) => {
--- a/crates/cassiarock-dispatch/src/entry/report.rs
+++ b/crates/cassiarock-dispatch/src/entry/report.rs
@@ -49,6 +49,13 @@
         let (jobs, links, version) = (self.scheduler.job_count(), self.links.len(), self.version());
         metrics::gauge!("cassiarock_jobs").set(jobs as f64);
         metrics::gauge!("cassiarock_agents_open").set(open as f64);
+        let milestones = ["first", "half", "all"].into_iter();
+        for (room, at) in milestones.zip(self.scheduler.room_milestones()) {
+            if let Some(at) = at {
+                metrics::gauge!("cassiarock_room_open_seconds", "room" => room)
+                    .set(at.as_secs_f64());
+            }
+        }
         if let Some(age) = self.freshness.age() {
             metrics::gauge!("cassiarock_orders_unproved_seconds").set(age);
         }
--- a/crates/cassiarock-dispatch/src/run/entry.rs
+++ b/crates/cassiarock-dispatch/src/run/entry.rs
@@ -175,7 +175,7 @@
             directory::announce(store.clone(), place, process),
         );
         parts.spawn(
-            "the exchange of caller patience",
+            "the exchange of what entries have learned",
             learned::sync(store, inputs.clone()),
         );
         let (orders, received_orders) = mpsc::channel(ORDER_BACKLOG);
--- a/crates/cassiarock-lab/src/event.rs
+++ b/crates/cassiarock-lab/src/event.rs
@@ -32,6 +32,12 @@
     UpstreamCrashes(usize, u64, u64),
     /// A crashed upstream is back, in this incarnation of its agent.
     UpstreamRestarts(usize, u64),
+    /// An entry is back after a loss.
+    EntryStarts(usize),
+    /// An agent is back after a loss.
+    AgentStarts(usize),
+    /// A link of an agent to an entry opens, each with its incarnation.
+    LinkOpens((usize, u64), (usize, u64)),
     /// A disturbance begins, by its index in the scenario.
     DisturbanceBegins(usize),
     /// A disturbance ends, by its index in the scenario.
--- a/crates/cassiarock-lab/src/scenario.rs
+++ b/crates/cassiarock-lab/src/scenario.rs
@@ -213,6 +213,16 @@
     /// The data centre that is evacuated.
     #[serde(default)]
     pub data_centre: Option<Name>,
+    /// Processes that come back after a loss start within this time, spread evenly.
+    #[serde(default)]
+    #[serde_as(as = "Time")]
+    #[serde(rename = "starts_within")]
+    pub start_spread: Duration,
+    /// Links of processes that come back open within this time, spread evenly.
+    #[serde(default)]
+    #[serde_as(as = "Time")]
+    #[serde(rename = "links_within")]
+    pub link_spread: Duration,
 }
 
 /// Types of disturbances.
--- a/crates/cassiarock-lab/src/simulation/agents.rs
+++ b/crates/cassiarock-lab/src/simulation/agents.rs
@@ -131,10 +131,27 @@
         if distance >= LINKS_PER_AGENT {
             return;
         }
+        let agent_id = (number, self.agents[number].process.incarnation);
+        let entry_id = (entry, self.entries[entry].process.incarnation);
+        match self.random_delay(self.link_spread) {
+            Some(at) => self
+                .event_queue
+                .add(at, Event::LinkOpens(agent_id, entry_id)),
+            None => self.open_link(agent_id, entry_id),
+        }
+    }
+
+    /// Opens a link between these incarnations, if both are up.
+    pub(super) fn open_link(&mut self, agent: (usize, u64), entry: (usize, u64)) {
+        let ((number, agent_incarnation), (entry, entry_incarnation)) = (agent, entry);
+        let is_entry_up = self.entries[entry].is_up
+            && self.entries[entry].process.incarnation == entry_incarnation;
+        if !is_entry_up || !self.is_current_incarnation(number, agent_incarnation) {
+            return;
+        }
+        let up = self.entries[entry].up(self.now);
         let (agent, entry) = (&mut self.agents[number], &mut self.entries[entry]);
-        entry
-            .scheduler
-            .link(&agent.process, &agent.data_centre, self.now);
+        entry.scheduler.link(&agent.process, &agent.data_centre, up);
         let actions = agent.host.link(&entry.process, self.now);
         self.execute_agent_actions(number, actions);
     }
--- a/crates/cassiarock-lab/src/simulation/callers.rs
+++ b/crates/cassiarock-lab/src/simulation/callers.rs
@@ -39,8 +39,9 @@
         self.invariants.record_submission(&job.id);
         self.event_queue
             .add(departure, Event::CallerLeaves(number, attempt));
+        let up = self.entries[entry].up(self.now);
         let scheduler = &mut self.entries[entry].scheduler;
-        let actions = scheduler.submit(submission, job, class, time_left, self.now);
+        let actions = scheduler.submit(submission, job, class, time_left, up);
         self.execute_entry_actions(entry, actions);
         self.poll_entry(entry);
     }
@@ -57,8 +58,9 @@
             return;
         };
         self.tally.record_unanswered(number, self.now);
+        let up = self.entries[entry].up(self.now);
         let scheduler = &mut self.entries[entry].scheduler;
-        let actions = scheduler.abandon(submission, "its caller left", self.now);
+        let actions = scheduler.abandon(submission, "its caller left", up);
         self.execute_entry_actions(entry, actions);
     }
 
--- a/crates/cassiarock-lab/src/simulation/entries.rs
+++ b/crates/cassiarock-lab/src/simulation/entries.rs
@@ -4,7 +4,7 @@
 use crate::event::{Event, Frame};
 use cassiarock_id::{Name, Process};
 use cassiarock_transient::Scheduler;
-use cassiarock_transient::scheduler::Action;
+use cassiarock_transient::scheduler::{Action, UsualRoom};
 use std::time::Duration;
 
 /// The current incarnation of an entry.
@@ -14,6 +14,16 @@
     pub(super) is_up: bool,
     /// Callers' patience by route as learned so far, which the next incarnation takes over.
     learned: Vec<(Name, Duration)>,
+    /// The usual room by service as learned so far, likewise.
+    room: Vec<(Name, UsualRoom)>,
+    started_at: Duration,
+}
+
+impl Entry {
+    /// The entry's clock, which counts from its start.
+    pub(super) const fn up(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.started_at)
+    }
 }
 
 impl Simulation<'_> {
@@ -26,6 +36,8 @@
             process,
             is_up: true,
             learned: Vec::new(),
+            room: Vec::new(),
+            started_at: self.now,
         });
         self.event_queue.add(self.now, Event::PollEntry(number, 1));
     }
@@ -42,6 +54,11 @@
     pub(super) fn power_off_entry(&mut self, number: usize) {
         let entry = &mut self.entries[number];
         entry.is_up = false;
+        let room = entry.scheduler.usual_room(entry.up(self.now));
+        let room: Vec<_> = room
+            .map(|(service, room)| (service.clone(), room))
+            .collect();
+        entry.room = room;
         let known = entry.scheduler.usual_patience();
         let known = known.map(|(route, least, _)| (route.clone(), least));
         entry.learned = known.collect();
@@ -59,6 +76,10 @@
         for (route, least) in &entry.learned {
             scheduler.adopt_patience(route, *least);
         }
+        for (service, room) in &entry.room {
+            scheduler.adopt_room(service, *room);
+        }
+        entry.started_at = self.now;
         entry.scheduler = scheduler;
         entry.process = Process::new(entry.process.name.clone(), incarnation);
         entry.is_up = true;
@@ -77,14 +98,16 @@
             return;
         }
         self.poll_entry(number);
-        let next_poll = self.entries[number].scheduler.next_poll(self.now);
-        let next_poll = next_poll.max(self.now + Duration::from_millis(1));
+        let entry = &self.entries[number];
+        let next_poll = entry.scheduler.next_poll(entry.up(self.now));
+        let next_poll = (entry.started_at + next_poll).max(self.now + Duration::from_millis(1));
         self.event_queue
             .add(next_poll, Event::PollEntry(number, incarnation));
     }
 
     pub(super) fn poll_entry(&mut self, number: usize) {
-        let actions = self.entries[number].scheduler.poll(self.now);
+        let up = self.entries[number].up(self.now);
+        let actions = self.entries[number].scheduler.poll(up);
         self.execute_entry_actions(number, actions);
         let jobs = self.entries[number].scheduler.job_count();
         self.tally.max_queue = self.tally.max_queue.max(jobs);
@@ -95,9 +118,10 @@
         if !entry.is_up || entry.process != frame.to {
             return;
         }
+        let up = entry.up(self.now);
         let actions = entry
             .scheduler
-            .handle_message(&frame.from, frame.message, self.now);
+            .handle_message(&frame.from, frame.message, up);
         self.execute_entry_actions(number, actions);
         self.poll_entry(number);
     }
--- a/crates/cassiarock-lab/src/simulation/mod.rs
+++ b/crates/cassiarock-lab/src/simulation/mod.rs
@@ -17,7 +17,7 @@
 use cassiarock_transient::scheduler::Mechanisms;
 use cassiarock_transient::{Message, evacuation};
 use entries::Entry;
-use rand::SeedableRng;
+use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha12Rng;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -51,6 +51,8 @@
     submissions: HashMap<u64, (usize, u32)>,
     /// The operators' evacuations, which all processes know at once.
     evacuations: evacuation::State,
+    /// Links that open now take up to this time.
+    link_spread: Duration,
     invariants: InvariantChecker,
     tally: Tally,
     random: ChaCha12Rng,
@@ -73,6 +75,7 @@
         callers,
         submissions: HashMap::new(),
         evacuations: evacuation::State::default(),
+        link_spread: Duration::ZERO,
         invariants: InvariantChecker::default(),
         tally: Tally::default(),
         random,
@@ -155,6 +158,9 @@
             Event::UpstreamRestarts(agent, incarnation) => {
                 self.restart_upstream(agent, incarnation)
             }
+            Event::EntryStarts(entry) => self.start_entry(entry),
+            Event::AgentStarts(agent) => self.start_agent(agent),
+            Event::LinkOpens(agent, entry) => self.open_link(agent, entry),
             Event::DisturbanceBegins(number) => self.begin_disturbance(number),
             Event::DisturbanceEnds(number) => self.end_disturbance(number),
         }
@@ -219,16 +225,28 @@
         ) {
             return;
         }
+        self.link_spread = disturbance.link_spread;
         if disturbance.kind == DisturbanceKind::AllLost {
             for entry in 0..self.entries.len() {
-                self.start_entry(entry);
+                match self.random_delay(disturbance.start_spread) {
+                    Some(at) => self.event_queue.add(at, Event::EntryStarts(entry)),
+                    None => self.start_entry(entry),
+                }
             }
         }
         for agent in self.affected_agents(&disturbance) {
-            self.start_agent(agent);
+            match self.random_delay(disturbance.start_spread) {
+                Some(at) => self.event_queue.add(at, Event::AgentStarts(agent)),
+                None => self.start_agent(agent),
+            }
         }
     }
 
+    /// A random time within `spread` from now; `None` without a spread, which draws nothing.
+    fn random_delay(&mut self, spread: Duration) -> Option<Duration> {
+        (!spread.is_zero()).then(|| self.now + spread.mul_f64(self.random.random()))
+    }
+
     fn power_off_agents(&mut self, disturbance: &Disturbance) {
         for agent in self.affected_agents(disturbance) {
             self.power_off_agent(agent);
--- a/crates/cassiarock-transient/src/host/incarnations.rs
+++ b/crates/cassiarock-transient/src/host/incarnations.rs
@@ -118,6 +118,8 @@
             self.keep_in_flight(task, run, now, actions);
         }
         self.announce_upstream(actions, reason);
+        // Nothing starts before a poll has shown that nothing runs, and regular polls wait for an end.
+        actions.push(Action::Poll);
     }
 
     /// Stops an order that may still reach the new incarnation. It is finished once a response to a
--- a/crates/cassiarock-transient/src/host/snapshots.rs
+++ b/crates/cassiarock-transient/src/host/snapshots.rs
@@ -83,6 +83,10 @@
         self.reconcile(snapshot, now, &mut actions);
         if !self.is_reconciled {
             self.is_reconciled = snapshot.running.is_empty();
+            if self.is_reconciled {
+                // Until now no room was reported, and entries that start wait for it.
+                self.send_heartbeat_to_all(now, &mut actions);
+            }
         }
         actions
     }
--- a/crates/cassiarock-transient/src/scheduler/link.rs
+++ b/crates/cassiarock-transient/src/scheduler/link.rs
@@ -102,6 +102,7 @@
             | Message::AskDirectory
             | Message::Evacuations(_) => {}
         }
+        self.record_room(from, now, &mut actions);
         if news != UpstreamNews::Lost {
             let has_results = news == UpstreamNews::Answers;
             self.settle_crashes(from, has_results, now, &mut actions);
--- a/crates/cassiarock-transient/src/scheduler/mechanisms.rs
+++ b/crates/cassiarock-transient/src/scheduler/mechanisms.rs
@@ -29,12 +29,14 @@
     pub together: bool,
     /// Gives up tasks that crash upstreams, and keeps suspected ones apart.
     pub suspicion: bool,
+    /// Counts the room of agents that are still being linked after a start.
+    pub expectation: bool,
 }
 
 /// The name of a mechanism and an accessor of its field.
 type Field = (&'static str, fn(&mut Mechanisms) -> &mut bool);
 
-const FIELDS: [Field; 13] = [
+const FIELDS: [Field; 14] = [
     ("admission", |mechanisms| &mut mechanisms.admission),
     ("expiry", |mechanisms| &mut mechanisms.expiry),
     ("whole_starts", |mechanisms| &mut mechanisms.whole_starts),
@@ -48,6 +50,7 @@
     ("avoidance", |mechanisms| &mut mechanisms.avoidance),
     ("together", |mechanisms| &mut mechanisms.together),
     ("suspicion", |mechanisms| &mut mechanisms.suspicion),
+    ("expectation", |mechanisms| &mut mechanisms.expectation),
 ];
 
 impl Default for Mechanisms {
@@ -66,6 +69,7 @@
             avoidance: true,
             together: true,
             suspicion: true,
+            expectation: true,
         }
     }
 }
--- a/crates/cassiarock-transient/src/scheduler/mod.rs
+++ b/crates/cassiarock-transient/src/scheduler/mod.rs
@@ -21,6 +21,7 @@
 use placement::placement_rate::PlacementRate;
 use placement::run_time::RunTimeRatios;
 use placement::upstream_kinds::UpstreamKinds;
+use queue::expectation::Expectation;
 use queue::patience::Patience;
 use queue::rank::Rank;
 use queue::reserve::Reserve;
@@ -31,6 +32,7 @@
 
 pub use action::{Action, Answer, Latency};
 pub use mechanisms::Mechanisms;
+pub use queue::expectation::UsualRoom;
 
 /// A process that was frozen for this long may hold requests whose callers have left and submitted
 /// them elsewhere. It learns of that from its sockets first.
@@ -58,6 +60,8 @@
     run_times: RunTimeRatios,
     /// How long callers usually wait.
     patience: Patience,
+    /// The room to expect after a start.
+    expectation: Expectation,
     /// The room to keep free for more urgent jobs.
     reserve: Reserve,
     /// When the scheduler was last polled; a gap means that the process was frozen.
@@ -205,7 +209,10 @@
             return actions;
         }
         match self.admit(&active, now) {
-            Ok(decision) => {
+            Ok((decision, is_held)) => {
+                if is_held {
+                    self.expectation.hold(number);
+                }
                 actions.push(Action::Log(decision));
                 self.queue.insert(active.rank());
                 self.jobs.insert(number, active);
@@ -240,6 +247,33 @@
         self.patience.adopt(route, least);
     }
 
+    /// The room that is usual here for each service, once this process has seen it.
+    pub fn usual_room(&self, now: Duration) -> impl Iterator<Item = (&Name, UsualRoom)> {
+        self.expectation.seen(now)
+    }
+
+    /// Takes over the usual room of a service that was recorded before this process started. It
+    /// only counts while this process starts.
+    ///
+    /// ```
+    /// use cassiarock_transient::Scheduler;
+    /// use cassiarock_transient::scheduler::UsualRoom;
+    /// let mut scheduler = Scheduler::new();
+    /// let room = UsualRoom { upstreams: 50, cpu: 1_600_000, entries: 8 };
+    /// scheduler.adopt_room(&"desk".into(), room);
+    /// assert_eq!(scheduler.room_milestones(), [None; 3]);
+    /// ```
+    pub fn adopt_room(&mut self, service: &Name, room: UsualRoom) {
+        self.expectation.adopt(service, room);
+    }
+
+    /// When the first agent, half and all of the room on record were open, if they were so while
+    /// this process started.
+    #[must_use]
+    pub const fn room_milestones(&self) -> [Option<Duration>; 3] {
+        self.expectation.milestones()
+    }
+
     /// Drops a job whose caller has left or has cancelled it, and stops its tasks.
     pub fn abandon(&mut self, number: u64, reason: &'static str, now: Duration) -> Vec<Action> {
         let mut actions = Vec::new();
@@ -272,11 +306,13 @@
             self.handle_missed_starts(now, &mut actions);
             self.move_overdue_tasks(now, &mut actions);
             self.heartbeat(now, &mut actions);
+            self.observe_room(now);
             self.may_place = true;
         }
         if now >= self.paused_until && self.may_place {
             self.place(now, &mut actions);
             self.may_place = false;
+            self.refuse_held(now, &mut actions);
         }
         actions
     }
--- a/crates/cassiarock-transient/src/scheduler/queue/admit.rs
+++ b/crates/cassiarock-transient/src/scheduler/queue/admit.rs
@@ -4,6 +4,7 @@
 //! it would make every job late. A job is refused at once if the work queued before it would make
 //! it late.
 
+use super::expectation::Expected;
 use super::shutdown;
 use crate::scheduler::active_job::{ActiveJob, Phase};
 use crate::scheduler::{Answer, Scheduler, job_decision};
@@ -32,12 +33,13 @@
 const MAX_WAIT: Duration = Duration::from_secs(3_600);
 
 impl Scheduler {
-    /// Decides whether to admit a job. An error holds the answer to the caller.
+    /// Decides whether to admit a job, with whether it is held for room that has not shown yet. An
+    /// error holds the answer to the caller.
     pub(in crate::scheduler) fn admit(
         &self,
         active: &ActiveJob,
         now: Duration,
-    ) -> Result<Decision, (Answer, Decision)> {
+    ) -> Result<(Decision, bool), (Answer, Decision)> {
         let service = &active.class.service;
         let open: Vec<_> = self
             .agents
@@ -45,8 +47,12 @@
             .filter(|agent| agent.is_open(now) && agent.serves(service))
             .collect();
         let decision = |kind| job_decision(kind, active, now).with("upstreams", open.len());
-        let admit_at_startup =
-            || Ok(decision("admitted").with("reason", "agents are still dialling"));
+        let admit_at_startup = || {
+            Ok((
+                decision("admitted").with("reason", "agents are still dialling"),
+                true,
+            ))
+        };
         if open.is_empty() && now < STARTUP_GRACE {
             return admit_at_startup();
         }
@@ -76,19 +82,28 @@
             }
             return Err((Answer::Failed, with_demand(decision("impossible"))));
         }
+        let expected = if self.mechanisms.expectation {
+            self.expectation.expected(service, now)
+        } else {
+            Expected::default()
+        };
         let free_cpu: u64 = sum(open.iter().map(|agent| agent.free().cpu));
+        let capacity: u64 = sum(open.iter().map(|agent| agent.capacity().cpu));
+        let entries = open.iter().map(|agent| u64::from(agent.load.entries));
+        let entries = entries.max().unwrap_or(1).max(expected.entries).max(1);
         let (queued_cpu, queued_core_millis) = self.queued_before(active);
-        let wait = if queued_cpu.saturating_add(total_cpu(active)) <= free_cpu {
-            Duration::ZERO
-        } else {
-            let capacity: u64 = sum(open.iter().map(|agent| agent.capacity().cpu));
-            let entries = open.iter().map(|agent| agent.load.entries).max();
-            let share = capacity as f64 / 1000.0 / f64::from(entries.unwrap_or(1).max(1));
+        let demand_cpu = queued_cpu.saturating_add(total_cpu(active));
+        let wait_with = |expected: Expected| {
+            if demand_cpu <= free_cpu.saturating_add(expected.free_cpu) {
+                return Duration::ZERO;
+            }
+            let share = capacity.saturating_add(expected.cpu) as f64 / 1000.0 / entries as f64;
             // At the onset of a burst little has been placed yet. The rate to come is at least an
             // equal share of the system.
             let rate = self.placement_rate.cores(now).max(share).max(1.0);
             time_to_place(queued_core_millis, rate)
         };
+        let wait = wait_with(expected);
         let expected_end = now + wait + active.critical_path;
         let decision = |kind| {
             decision(kind)
@@ -96,6 +111,8 @@
                 .with("chain_ms", active.critical_path.as_millis())
                 .with("queue", self.queue.len())
                 .with("free_cpu", free_cpu)
+                .with("expected_cpu", expected.free_cpu)
+                .with("certainty", format_args!("{:.2}", expected.certainty))
         };
         if self.ends_before(expected_end) {
             let decision = decision("refused").with("reason", shutdown::REASON);
@@ -105,7 +122,9 @@
             let answer = self.refusal(BASE_RETRY_AFTER + wait, true);
             return Err((answer, decision("refused").with("reason", "queue")));
         }
-        Ok(decision("admitted"))
+        let end_without = now + wait_with(Expected::default()) + active.critical_path;
+        let is_held = end_without > active.on_time_until && self.mechanisms.admission;
+        Ok((decision("admitted").with("held", is_held), is_held))
     }
 
     /// The demand of the waiting tasks queued before `active`: in thousandths of a core, and in
--- a/crates/cassiarock-transient/tests/host/polls.rs
+++ b/crates/cassiarock-transient/tests/host/polls.rs
@@ -3,7 +3,7 @@
 use crate::harness::{Harness, ms};
 use cassiarock_transient::Message;
 use cassiarock_transient::host::{Action, poll_backoff};
-use cassiarock_transient::message::Outcome;
+use cassiarock_transient::message::{Load, Outcome};
 use cassiarock_transient::timing::{HEARTBEAT_INTERVAL, LEASE, LINK_TIMEOUT};
 
 // An idle upstream was polled as often as a busy one, 22 times a second: this took most of its
@@ -81,3 +81,16 @@
         "one or two lost responses cost little time"
     );
 }
+
+// An upstream without tasks held the first poll, and the entries heard of its room with the next
+// heartbeat: 140 ms in which a starting system stood still.
+#[test]
+fn a_new_upstream_is_polled_at_once_and_its_room_is_announced() {
+    let mut harness = Harness::new();
+    let polls = harness.polls;
+    harness.report("u-2", 1);
+    assert_eq!(harness.polls, polls + 1);
+    harness.load = Load::default();
+    harness.observe(&[], &[]);
+    assert_eq!(harness.load.free.cpu, 10_000);
+}
--- a/crates/cassiarock-transient/tests/host/restarts.rs
+++ b/crates/cassiarock-transient/tests/host/restarts.rs
@@ -129,9 +129,10 @@
 #[test]
 fn a_report_of_an_unknown_earlier_incarnation_is_checked_by_a_poll() {
     let mut harness = running();
+    let polls = harness.polls;
     harness.report_incarnation(&started_at(900), 5);
     assert_eq!(harness.incarnation(), started_at(1_000));
-    assert_eq!(harness.polls, 1);
+    assert_eq!(harness.polls, polls + 1);
     harness.observe(&[("j", 1)], &[]);
     assert_eq!(harness.outcome_of(1), None);
 }
