--- a/crates/cassiarock-lab/tests/play.rs
+++ b/crates/cassiarock-lab/tests/play.rs
@@ -18,6 +18,7 @@
     quiet = { "quiet.jsonc", 0.99 },
     forum = { "forum.jsonc", 0.86 },
     all_lost = { "all-lost.jsonc", 0.82 },
+    starting = { "starting.jsonc", 0.90 },
     black_hole = { "black-hole.jsonc", 0.98 },
     hanging = { "hanging.jsonc", 0.95 },
     wide = { "wide.jsonc", 0.93 },
