Start a job beside the reserve when it would be refused otherwise; name the cause of each refusal

Now a job within 30 ms of its latest start is not held back unless a more urgent one waits at its entry (switch last_call). Each refusal's line names its cause and whether there was room for the whole job; cassiarock_refusals_total counts them, the lab prints their share. A job counts as fitting whole only where it would not be late (slow upstreams left out).

--- a/crates/cassiarock-dispatch/src/entry/report.rs
+++ b/crates/cassiarock-dispatch/src/entry/report.rs
@@ -4,6 +4,7 @@
 use crate::decision_log::log_decision;
 use crate::links::send;
 use cassiarock_process::Evacuation;
+use cassiarock_transient::Decision;
 use cassiarock_transient::scheduler::{Action, Answer, Latency};
 use std::time::Duration;
 
@@ -21,7 +22,10 @@
                         let _ = caller.send(answer);
                     }
                 }
-                Action::Log(decision) => log_decision(&decision),
+                Action::Log(decision) => {
+                    count_refusal(&decision);
+                    log_decision(&decision);
+                }
                 Action::Measure(latency, route, took) => {
                     let name = match latency {
                         Latency::Queue => "cassiarock_queue_seconds",
@@ -64,6 +68,20 @@
     }
 }
 
+/// Counts a refusal by its cause, and by whether there was room for the job.
+fn count_refusal(decision: &Decision) {
+    let value = |wanted: &str| {
+        let mut fields = decision.fields.iter();
+        let found = fields.find(|(name, _)| *name == wanted);
+        found.map(|(_, value)| value.clone())
+    };
+    if let Some(cause) = value("cause") {
+        let has_room = value("has_room").unwrap_or_default();
+        let labels = [("cause", cause), ("has_room", has_room)];
+        metrics::counter!("cassiarock_refusals_total", &labels).increment(1);
+    }
+}
+
 const fn label(answer: Answer) -> &'static str {
     match answer {
         Answer::Completed => "completed",
--- a/crates/cassiarock-lab/src/result.rs
+++ b/crates/cassiarock-lab/src/result.rs
@@ -53,6 +53,8 @@
     /// Messages between entries and agents per task started, without heartbeats.
     #[serde(rename = "frames")]
     pub frames_per_task: f64,
+    /// Refusals while the agents that the entry knew had room for the whole job, as a share of the callers.
+    pub refused_with_room: f64,
     /// Share of the ordered tasks that agents rejected because their upstream was full.
     pub turned_away: f64,
     /// Jain's fairness index of the shares answered in time, over kinds.
@@ -89,6 +91,8 @@
     /// The share of the upstreams' work that led to no answer.
     #[serde(rename = "thrown")]
     pub wasted_work: f64,
+    /// Refusals while the agents that the entry knew had room for the whole job, as a share of the callers.
+    pub refused_with_room: f64,
     /// Violated invariants, with their seed.
     #[serde(rename = "broken")]
     pub violations: Vec<String>,
@@ -112,6 +116,7 @@
             worth,
             worth_deviation,
             unserved: mean(|seed| seed.unserved),
+            refused_with_room: mean(|seed| seed.refused_with_room),
             in_time: mean(|seed| seed.in_time),
             in_time_bound: mean(|seed| seed.in_time_bound),
             wasted_work: mean(|seed| seed.wasted_work),
@@ -210,13 +215,14 @@
         }
         write!(
             f,
-            "worth {:.3} (scatter {:.3}), not served {:.4}, in time {:.3} of at most {:.3}, work thrown away {:.3}",
+            "worth {:.3} (scatter {:.3}), not served {:.4}, in time {:.3} of at most {:.3}, work thrown away {:.3}, refused with room free {:.4}",
             self.worth,
             self.worth_deviation,
             self.unserved,
             self.in_time,
             self.in_time_bound,
-            self.wasted_work
+            self.wasted_work,
+            self.refused_with_room
         )
     }
 }
--- a/crates/cassiarock-lab/src/simulation/entries.rs
+++ b/crates/cassiarock-lab/src/simulation/entries.rs
@@ -110,7 +110,8 @@
                     self.send(from, to, message);
                 }
                 Action::Answer(submission, answer) => self.answer(submission, answer),
-                Action::Log(_) | Action::Measure(..) => {}
+                Action::Log(decision) => self.tally.record_decision(&decision),
+                Action::Measure(..) => {}
             }
         }
     }
--- a/crates/cassiarock-lab/src/simulation/tally.rs
+++ b/crates/cassiarock-lab/src/simulation/tally.rs
@@ -5,9 +5,9 @@
 use crate::scenario::Scenario;
 use crate::score::{Outcome, Scorer};
 use cassiarock_id::Name;
-use cassiarock_transient::Message;
 use cassiarock_transient::message::Outcome as AttemptOutcome;
 use cassiarock_transient::scheduler::Answer;
+use cassiarock_transient::{Decision, Message};
 use hdrhistogram::Histogram;
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
@@ -33,6 +33,8 @@
     ordered: u64,
     /// Ordered tasks that agents rejected because their upstream was full.
     turned_away: u64,
+    /// Refusals while the agents that the entry knows had room for all tasks of the job.
+    refused_with_room: u64,
     /// Tasks started on upstreams.
     pub(super) started: u64,
     /// Upstream crashes caused by tasks.
@@ -77,6 +79,14 @@
         self.frames += 1;
     }
 
+    /// Counts a refusal in spite of room for the job.
+    pub(super) fn record_decision(&mut self, decision: &Decision) {
+        let has_room = ("has_room", "true");
+        let mut fields = decision.fields.iter();
+        let has_room = fields.any(|(name, value)| (*name, value.as_str()) == has_room);
+        self.refused_with_room += u64::from(decision.kind == "refused" && has_room);
+    }
+
     pub(super) fn record_answer(
         &mut self,
         number: usize,
@@ -154,6 +164,7 @@
                 .collect(),
             wasted_work: 1.0 - self.useful / self.work.max(f64::MIN_POSITIVE),
             refusal_ms: (quantile(0.5), quantile(0.99)),
+            refused_with_room: self.refused_with_room as f64 / callers.len().max(1) as f64,
             turned_away: share(self.turned_away, self.ordered.max(1)),
             frames_per_task: self.frames as f64 / self.started.max(1) as f64,
             kind_fairness: jain(&shares),
--- a/crates/cassiarock-transient/src/scheduler/placement/choose.rs
+++ b/crates/cassiarock-transient/src/scheduler/placement/choose.rs
@@ -46,13 +46,7 @@
         });
         let costs = candidates.filter_map(|(process, agent)| {
             let pace = agent.pace(self.median_pace);
-            let expected = active.expected[stage].mul_f64(pace);
-            let would_be_late = now + expected > active.on_time_until;
-            if self.mechanisms.moving
-                && pace > SLOW_PACE
-                && would_be_late
-                && now < active.latest_start() + active.critical_path
-            {
+            if self.is_too_slow(active, stage, agent, now) {
                 return None;
             }
             let is_avoided = self.mechanisms.avoidance && task.avoided.contains(process);
@@ -77,6 +71,22 @@
         let best = costs.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
         best.map(|(_, _, process)| process.clone())
     }
+
+    /// Whether the agent's upstream is so slow that the job would be late.
+    pub(super) fn is_too_slow(
+        &self,
+        active: &ActiveJob,
+        stage: usize,
+        agent: &Agent,
+        now: Duration,
+    ) -> bool {
+        let pace = agent.pace(self.median_pace);
+        let expected = active.expected[stage].mul_f64(pace);
+        self.mechanisms.moving
+            && pace > SLOW_PACE
+            && now + expected > active.on_time_until
+            && now < active.latest_start() + active.critical_path
+    }
 }
 
 /// Whether tasks of the stage may be placed on the agent, whatever room it has.
--- a/crates/cassiarock-transient/src/scheduler/placement/place.rs
+++ b/crates/cassiarock-transient/src/scheduler/placement/place.rs
@@ -5,6 +5,7 @@
 use crate::message::{Order, Start};
 use crate::scheduler::active_job::{ActiveJob, Phase, core_millis};
 use crate::scheduler::fault::crash::suspect_agents;
+use crate::scheduler::queue::reserve::{KeptRoom, is_last_call};
 use crate::scheduler::{Action, Latency, Scheduler, job_decision};
 use cassiarock_id::Process;
 use std::collections::{BTreeMap, BTreeSet};
@@ -62,15 +63,17 @@
     /// a started job found no room.
     fn may_start(&self, active: &ActiveJob, is_any_partial: bool, now: Duration) -> bool {
         let has_to_fit = is_any_partial && self.mechanisms.whole_starts;
-        self.is_reserve_free(active, now) && (!has_to_fit || self.fits_whole(active, now))
+        self.kept_room(active, now).allows(active) && (!has_to_fit || self.fits_whole(active, now))
     }
 
-    /// Whether the room reserved for more urgent jobs is free. It is counted in whole tasks of this
-    /// job, so that a system with room for a few tasks keeps none of it empty.
-    fn is_reserve_free(&self, active: &ActiveJob, now: Duration) -> bool {
-        let reserved = self.reserve.share_for(active.urgency(), now);
-        if reserved == 0.0 || !self.mechanisms.reserve {
-            return true;
+    /// The room that is kept free for jobs more urgent than `active`.
+    pub(in crate::scheduler) fn kept_room(&self, active: &ActiveJob, now: Duration) -> KeptRoom {
+        let share = self.reserve.share_for(active.urgency(), now);
+        let has_to_start = self.mechanisms.last_call
+            && is_last_call(active, now)
+            && !self.has_waiting_before(active.urgency());
+        if share == 0.0 || !self.mechanisms.reserve || has_to_start {
+            return KeptRoom::default();
         }
         let agents = self.agents.values();
         let open = agents.filter(|agent| agent.is_open(now) && agent.serves(&active.class.service));
@@ -80,24 +83,29 @@
                 capacity.saturating_add(agent.capacity().cpu),
             )
         });
-        let reserved = (reserved * capacity as f64) as u64;
-        let mut demands = active
-            .job
-            .stages
-            .iter()
-            .map(|stage| stage.demand.cpu.max(1));
-        demands.all(|demand| free / demand >= reserved / demand)
+        let cpu = (share * capacity as f64) as u64;
+        KeptRoom { cpu, free, share }
+    }
+
+    /// Whether a more urgent job waits that can be on time.
+    fn has_waiting_before(&self, urgency: u32) -> bool {
+        let on_time = self.queue.iter().take_while(|rank| !rank.is_late);
+        let mut on_time = on_time.filter(|rank| !rank.has_waited);
+        on_time.any(|rank| rank.urgency < urgency)
     }
 
     /// Whether there is room for all tasks of the stages that can start now.
-    fn fits_whole(&self, active: &ActiveJob, now: Duration) -> bool {
+    pub(in crate::scheduler) fn fits_whole(&self, active: &ActiveJob, now: Duration) -> bool {
         let stages = active.job.stages.iter().enumerate();
         let mut ready = stages.filter(|(stage, _)| active.is_stage_ready(*stage));
         ready.all(|(index, stage)| {
             let tasks = active.tasks[index].iter();
             let waiting = tasks.filter(|task| matches!(task.phase, Phase::Waiting(_)));
             let agents = self.agents.values();
-            let eligible = agents.filter(|agent| is_eligible(active, stage, agent, now));
+            let eligible = agents.filter(|agent| {
+                is_eligible(active, stage, agent, now)
+                    && !self.is_too_slow(active, index, agent, now)
+            });
             let max = u64::from(stage.max_per_upstream.unwrap_or(u32::MAX));
             let room: u64 = eligible
                 .map(|agent| agent.free().count_of(&stage.demand).min(max))
--- a/crates/cassiarock-transient/src/scheduler/queue/admit.rs
+++ b/crates/cassiarock-transient/src/scheduler/queue/admit.rs
@@ -4,7 +4,7 @@
 //! it would make every job late. A job is refused at once if the work queued before it would make
 //! it late.
 
-use super::shutdown;
+use super::{cause, shutdown};
 use crate::scheduler::active_job::{ActiveJob, Phase};
 use crate::scheduler::{Answer, Scheduler, job_decision};
 use crate::{Decision, Resources};
@@ -98,12 +98,16 @@
                 .with("free_cpu", free_cpu)
         };
         if self.ends_before(expected_end) {
-            let decision = decision("refused").with("reason", shutdown::REASON);
+            let decision = decision("refused")
+                .with("reason", shutdown::REASON)
+                .with("cause", cause::SHUTDOWN);
             return Err((self.refused_by_shutdown(), decision));
         }
         if expected_end > active.on_time_until && self.mechanisms.admission {
             let answer = self.refusal(BASE_RETRY_AFTER + wait, true);
-            return Err((answer, decision("refused").with("reason", "queue")));
+            let decision = decision("refused").with("reason", "queue");
+            let decision = self.with_cause(decision, cause::QUEUE, active, now);
+            return Err((answer, decision));
         }
         Ok(decision("admitted"))
     }
@@ -122,7 +126,7 @@
     /// A refusal because no present upstream can run the job.
     fn refused_without_upstream(&self, decision: Decision) -> (Answer, Decision) {
         let answer = self.refusal(RETRY_AFTER_NO_UPSTREAM, false);
-        (answer, decision.failed())
+        (answer, decision.with("cause", cause::NO_UPSTREAM).failed())
     }
 
     /// A refusal. A random part of up to a half is added to the pause.
--- a/crates/cassiarock-transient/src/scheduler/queue/expire.rs
+++ b/crates/cassiarock-transient/src/scheduler/queue/expire.rs
@@ -3,6 +3,7 @@
 //! Under overload, a job that cannot be on time any more is refused at once if nothing of it has
 //! run, so that its caller learns when to come back and its room goes to a job that can.
 
+use super::{cause, shutdown};
 use crate::scheduler::active_job::ActiveJob;
 use crate::scheduler::{Action, Answer, Scheduler, job_decision};
 use std::time::Duration;
@@ -81,13 +82,17 @@
         actions: &mut Vec<Action>,
     ) {
         let queue = self.queue.len();
+        let cause = if reason == shutdown::REASON {
+            cause::SHUTDOWN
+        } else {
+            cause::QUEUE
+        };
         if let Some(active) = self.remove(number) {
-            self.reserve.record_outcome(active.class.priority, false);
-            let kept_free = self.reserve.share_for(active.urgency(), now) * 100.0;
             let decision = job_decision("refused", &active, now)
                 .with("reason", reason)
-                .with("kept_free_percent", kept_free.round())
                 .with("queue", queue);
+            let decision = self.with_cause(decision, cause, &active, now);
+            self.reserve.record_outcome(active.class.priority, false);
             actions.push(Action::Log(decision.failed()));
             actions.push(Action::Answer(number, answer));
         }
--- a/crates/cassiarock-transient/src/scheduler/queue/mod.rs
+++ b/crates/cassiarock-transient/src/scheduler/queue/mod.rs
@@ -1,6 +1,7 @@
 //! Which jobs are admitted, in which order they are placed, and when they are refused.
 
 mod admit;
+pub(super) mod cause;
 mod expire;
 pub(super) mod patience;
 pub(super) mod rank;
--- a/crates/cassiarock-transient/src/scheduler/queue/reserve.rs
+++ b/crates/cassiarock-transient/src/scheduler/queue/reserve.rs
@@ -6,7 +6,12 @@
 //! kind was served worst. A job of a less urgent kind therefore starts only while a share of the
 //! room is free, a larger one for each step of urgency (trunk reservation). No entry has to know
 //! the queues of the others.
+//!
+//! A job that has to start now is not held back unless a more urgent one waits: its caller would be
+//! refused with room free that nobody urgent wants.
 
+use crate::Decision;
+use crate::scheduler::active_job::ActiveJob;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -31,6 +36,42 @@
 /// The most priorities that are remembered; operators use a handful.
 const MAX_PRIORITIES: usize = 64;
 
+/// A job whose latest start is closer than this has to start now. Missed starts are looked for every
+/// 20 ms.
+const LAST_CALL: Duration = Duration::from_millis(30);
+
+/// The room that is kept free for more urgent jobs, in thousandths of a core.
+#[derive(Clone, Copy, Debug, Default)]
+pub(in crate::scheduler) struct KeptRoom {
+    pub(in crate::scheduler) cpu: u64,
+    pub(in crate::scheduler) free: u64,
+    /// The kept share of the room.
+    pub(in crate::scheduler) share: f64,
+}
+
+impl KeptRoom {
+    /// Whether a job may start beside the kept room. That is counted in whole tasks of the job, so
+    /// that a system with room for a few tasks keeps none of it empty.
+    pub(in crate::scheduler) fn allows(&self, active: &ActiveJob) -> bool {
+        let stages = active.job.stages.iter();
+        let mut demands = stages.map(|stage| stage.demand.cpu.max(1));
+        demands.all(|demand| self.free / demand >= self.cpu / demand)
+    }
+
+    /// Adds the amounts to a decision.
+    pub(in crate::scheduler) fn describe(&self, decision: Decision) -> Decision {
+        decision
+            .with("kept_cpu", self.cpu)
+            .with("free_cpu", self.free)
+            .with("kept_percent", (self.share * 100.0).round())
+    }
+}
+
+/// Whether a job has to start now to be on time.
+pub(in crate::scheduler) fn is_last_call(active: &ActiveJob, now: Duration) -> bool {
+    active.latest_start().saturating_sub(now) < LAST_CALL
+}
+
 /// How jobs of one priority have fared recently.
 #[derive(Clone, Copy, Debug)]
 struct Record {
--- a/crates/cassiarock-transient/tests/scheduler/reserve.rs
+++ b/crates/cassiarock-transient/tests/scheduler/reserve.rs
@@ -1,7 +1,9 @@
 //! Room that is reserved for more urgent jobs.
 
-use crate::harness::Harness;
+use crate::harness::{Harness, job, ms};
+use cassiarock_transient::Resources;
 use cassiarock_transient::message::Outcome;
+use cassiarock_transient::scheduler::Action;
 
 /// Submits jobs of one task each on the least urgent route, more than there is room for. It skips
 /// the numbers of jobs that are ordered by their latest start alone.
@@ -70,3 +72,39 @@
     flood(&mut harness, 2_001);
     assert_eq!(harness.placed.len(), 40);
 }
+
+// Callers of the less urgent kind were refused while the room kept for urgent work stayed free.
+#[test]
+fn a_job_that_has_to_start_now_takes_reserved_room_that_nobody_urgent_waits_for() {
+    let mut harness = Harness::new(8);
+    run_urgent_job(&mut harness, 1);
+    flood(&mut harness, 1_001);
+    harness.advance(140);
+    assert_eq!(harness.placed.len(), 77, "of 80");
+    harness.advance(30);
+    assert_eq!(harness.placed.len(), 80);
+    assert_eq!(harness.answers.len(), 1, "nobody is refused");
+}
+
+#[test]
+fn a_refusal_for_the_sake_of_a_waiting_urgent_job_names_that_cause() {
+    let mut harness = Harness::new(8);
+    run_urgent_job(&mut harness, 1);
+    flood(&mut harness, 1_001);
+    harness.advance(100);
+    let mut urgent = job(2, 1, 400);
+    urgent.stages[0].demand = Resources::new(4_000, 64, 0);
+    harness.submit_job(2, urgent, 3_000);
+    harness.advance(80);
+    assert_eq!(harness.placed.len(), 77, "of 80");
+    harness.now += ms(20);
+    let actions = harness.scheduler.poll(harness.now);
+    let cause = actions.iter().find_map(|action| match action {
+        Action::Log(line) if line.kind == "refused" => {
+            line.fields.iter().find(|(name, _)| *name == "cause")
+        }
+        _ => None,
+    });
+    let kept = ("cause", "kept for urgent work".to_owned());
+    assert_eq!(cause, Some(&kept));
+}
