--- a/crates/cassiarock-transient/src/scheduler/mechanisms.rs
+++ b/crates/cassiarock-transient/src/scheduler/mechanisms.rs
@@ -15,8 +15,6 @@
     pub priority: bool,
     /// Reserves room for more urgent jobs.
     pub reserve: bool,
-    /// Starts jobs beside the reserved room that would be refused otherwise.
-    pub last_call: bool,
     /// Asks agents for room that becomes free.
     pub asking: bool,
     /// Places jobs of callers who have waited before after others.
@@ -36,14 +34,13 @@
 /// The name of a mechanism and an accessor of its field.
 type Field = (&'static str, fn(&mut Mechanisms) -> &mut bool);
 
-const FIELDS: [Field; 14] = [
+const FIELDS: [Field; 13] = [
     ("admission", |mechanisms| &mut mechanisms.admission),
     ("expiry", |mechanisms| &mut mechanisms.expiry),
     ("whole_starts", |mechanisms| &mut mechanisms.whole_starts),
     ("kept_rank", |mechanisms| &mut mechanisms.kept_rank),
     ("priority", |mechanisms| &mut mechanisms.priority),
     ("reserve", |mechanisms| &mut mechanisms.reserve),
-    ("last_call", |mechanisms| &mut mechanisms.last_call),
     ("asking", |mechanisms| &mut mechanisms.asking),
     ("waited_last", |mechanisms| &mut mechanisms.waited_last),
     ("ejection", |mechanisms| &mut mechanisms.ejection),
@@ -62,7 +59,6 @@
             kept_rank: true,
             priority: true,
             reserve: true,
-            last_call: true,
             asking: true,
             waited_last: true,
             ejection: true,
--- a/crates/cassiarock-transient/src/scheduler/placement/place.rs
+++ b/crates/cassiarock-transient/src/scheduler/placement/place.rs
@@ -5,7 +5,7 @@
 use crate::message::{Order, Start};
 use crate::scheduler::active_job::{ActiveJob, Phase, core_millis};
 use crate::scheduler::fault::crash::suspect_agents;
-use crate::scheduler::queue::reserve::{KeptRoom, is_last_call};
+use crate::scheduler::queue::reserve::KeptRoom;
 use crate::scheduler::{Action, Latency, Scheduler, job_decision};
 use cassiarock_id::Process;
 use std::collections::{BTreeMap, BTreeSet};
@@ -69,10 +69,7 @@
     /// The room that is kept free for jobs more urgent than `active`.
     pub(in crate::scheduler) fn kept_room(&self, active: &ActiveJob, now: Duration) -> KeptRoom {
         let share = self.reserve.share_for(active.urgency(), now);
-        let has_to_start = self.mechanisms.last_call
-            && is_last_call(active, now)
-            && !self.has_waiting_before(active.urgency());
-        if share == 0.0 || !self.mechanisms.reserve || has_to_start {
+        if share == 0.0 || !self.mechanisms.reserve {
             return KeptRoom::default();
         }
         let agents = self.agents.values();
@@ -87,13 +84,6 @@
         KeptRoom { cpu, free, share }
     }
 
-    /// Whether a more urgent job waits that can be on time.
-    fn has_waiting_before(&self, urgency: u32) -> bool {
-        let on_time = self.queue.iter().take_while(|rank| !rank.is_late);
-        let mut on_time = on_time.filter(|rank| !rank.has_waited);
-        on_time.any(|rank| rank.urgency < urgency)
-    }
-
     /// Whether there is room for all tasks of the stages that can start now.
     pub(in crate::scheduler) fn fits_whole(&self, active: &ActiveJob, now: Duration) -> bool {
         let stages = active.job.stages.iter().enumerate();
--- a/crates/cassiarock-transient/src/scheduler/queue/reserve.rs
+++ b/crates/cassiarock-transient/src/scheduler/queue/reserve.rs
@@ -6,9 +6,6 @@
 //! kind was served worst. A job of a less urgent kind therefore starts only while a share of the
 //! room is free, a larger one for each step of urgency (trunk reservation). No entry has to know
 //! the queues of the others.
-//!
-//! A job that has to start now is not held back unless a more urgent one waits: its caller would be
-//! refused with room free that nobody urgent wants.
 
 use crate::Decision;
 use crate::scheduler::active_job::ActiveJob;
@@ -36,10 +33,6 @@
 /// The most priorities that are remembered; operators use a handful.
 const MAX_PRIORITIES: usize = 64;
 
-/// A job whose latest start is closer than this has to start now. Missed starts are looked for every
-/// 20 ms.
-const LAST_CALL: Duration = Duration::from_millis(30);
-
 /// The room that is kept free for more urgent jobs, in thousandths of a core.
 #[derive(Clone, Copy, Debug, Default)]
 pub(in crate::scheduler) struct KeptRoom {
@@ -67,11 +60,6 @@
     }
 }
 
-/// Whether a job has to start now to be on time.
-pub(in crate::scheduler) fn is_last_call(active: &ActiveJob, now: Duration) -> bool {
-    active.latest_start().saturating_sub(now) < LAST_CALL
-}
-
 /// How jobs of one priority have fared recently.
 #[derive(Clone, Copy, Debug)]
 struct Record {
