--- a/crates/cassiarock-transient/src/scheduler/queue/admit.rs
+++ b/crates/cassiarock-transient/src/scheduler/queue/admit.rs
@@ -5,7 +5,7 @@
 //! it late.
 
 use super::expectation::Expected;
-use super::shutdown;
+use super::{cause, shutdown};
 use crate::scheduler::active_job::{ActiveJob, Phase};
 use crate::scheduler::{Answer, Scheduler, job_decision};
 use crate::{Decision, Resources};
@@ -115,12 +115,16 @@
                 .with("certainty", format_args!("{:.2}", expected.certainty))
         };
         if self.ends_before(expected_end) {
-            let decision = decision("refused").with("reason", shutdown::REASON);
+            let decision = decision("refused")
+                .with("reason", shutdown::REASON)
+                .with("cause", cause::SHUTDOWN);
             return Err((self.refused_by_shutdown(), decision));
         }
         if expected_end > active.on_time_until && self.mechanisms.admission {
             let answer = self.refusal(BASE_RETRY_AFTER + wait, true);
-            return Err((answer, decision("refused").with("reason", "queue")));
+            let decision = decision("refused").with("reason", "queue");
+            let decision = self.with_cause(decision, cause::QUEUE, active, now);
+            return Err((answer, decision));
         }
         let end_without = now + wait_with(Expected::default()) + active.critical_path;
         let is_held = end_without > active.on_time_until && self.mechanisms.admission;
@@ -141,7 +145,7 @@
     /// A refusal because no present upstream can run the job.
     fn refused_without_upstream(&self, decision: Decision) -> (Answer, Decision) {
         let answer = self.refusal(RETRY_AFTER_NO_UPSTREAM, false);
-        (answer, decision.failed())
+        (answer, decision.with("cause", cause::NO_UPSTREAM).failed())
     }
 
     /// A refusal. A random part of up to a half is added to the pause.
--- a/crates/cassiarock-transient/src/scheduler/queue/mod.rs
+++ b/crates/cassiarock-transient/src/scheduler/queue/mod.rs
@@ -2,6 +2,7 @@
 
 mod admit;
 pub(super) mod expectation;
+pub(super) mod cause;
 mod expire;
 pub(super) mod patience;
 pub(super) mod rank;
