--- a/crates/cassiarock-lab/src/event.rs
+++ b/crates/cassiarock-lab/src/event.rs
@@ -32,6 +32,8 @@
     UpstreamCrashes(usize, u64, u64),
     /// A crashed upstream is back, in this incarnation of its agent.
     UpstreamRestarts(usize, u64),
+    /// An upstream terminates as announced, in this incarnation of its agent.
+    UpstreamLeaves(usize, u64),
     /// A disturbance begins, by its index in the scenario.
     DisturbanceBegins(usize),
     /// A disturbance ends, by its index in the scenario.
--- a/crates/cassiarock-lab/src/result.rs
+++ b/crates/cassiarock-lab/src/result.rs
@@ -66,6 +66,10 @@
     pub max_queue: usize,
     /// Upstream crashes caused by tasks.
     pub crashes: u64,
+    /// Runs that terminated with an upstream that had announced its end.
+    pub lost_by_leaving: u64,
+    /// Runs that were stopped, for any reason.
+    pub stopped: u64,
     /// Violated invariants.
     #[serde(rename = "broken")]
     pub violations: Vec<String>,
@@ -189,7 +193,7 @@
                 f,
                 "seed {}: worth {:.3}, not served {:.4}; in time {:.3} of at most {:.3}; work thrown away {:.3}; refusals after {:.0} ms \
                  (99th percentile {:.0}); {:.2} frames a task; {:.3} of orders turned away; fair over kinds {:.3}, over entries {:.3}; \
-                 longest queue {}",
+                 longest queue {}; {} runs lost with leaving upstreams, {} stopped",
                 seed.seed,
                 seed.worth,
                 seed.unserved,
@@ -202,7 +206,9 @@
                 seed.turned_away,
                 seed.kind_fairness,
                 seed.entry_fairness,
-                seed.max_queue
+                seed.max_queue,
+                seed.lost_by_leaving,
+                seed.stopped
             )?;
         }
         for fault in &self.violations {
--- a/crates/cassiarock-lab/src/scenario.rs
+++ b/crates/cassiarock-lab/src/scenario.rs
@@ -213,6 +213,14 @@
     /// The data centre that is evacuated.
     #[serde(default)]
     pub data_centre: Option<Name>,
+    /// How long before their end upstreams that are replaced announce it.
+    #[serde(default)]
+    #[serde_as(as = "Time")]
+    pub notice: Duration,
+    /// How long replaced upstreams are cold: their run times are multiplied by the factor.
+    #[serde(default)]
+    #[serde_as(as = "Time")]
+    pub cold: Duration,
 }
 
 /// Types of disturbances.
@@ -235,6 +243,9 @@
     Leaving,
     /// Operators evacuate a data centre and revoke the evacuation at the end.
     Emptied,
+    /// Upstreams announce their end, terminate after the notice with all that runs there, and come
+    /// back empty, and cold for a while, at the end.
+    Replaced,
 }
 
 impl Scenario {
--- a/crates/cassiarock-lab/src/simulation/agents.rs
+++ b/crates/cassiarock-lab/src/simulation/agents.rs
@@ -41,10 +41,14 @@
     pub(super) process: Process,
     pub(super) upstream: Upstream,
     pub(super) is_up: bool,
-    /// Whether its upstream has crashed and not restarted yet.
-    is_upstream_down: bool,
+    /// Whether its upstream has crashed or terminated and not restarted yet.
+    pub(super) is_upstream_down: bool,
     /// Number of starts of its upstream.
     upstream_starts: u64,
+    /// Whether its upstream has announced its end.
+    pub(super) is_upstream_leaving: bool,
+    /// Until when its upstream is cold, and the factor of its run times until then.
+    pub(super) cold: (Duration, f64),
     pub(super) data_centre: Name,
     cores: f64,
     memory_mib: u64,
@@ -73,6 +77,8 @@
             is_up: false,
             is_upstream_down: false,
             upstream_starts: 0,
+            is_upstream_leaving: false,
+            cold: (Duration::ZERO, 1.0),
             data_centre: group.data_centre.clone(),
             cores: group.cores,
             memory_mib: group.memory_mib,
@@ -108,9 +114,11 @@
     }
 
     /// Hands the agent the first report of a new incarnation of its upstream.
-    fn report_upstream(&mut self, number: usize) {
+    pub(super) fn report_upstream(&mut self, number: usize) {
         let agent = &mut self.agents[number];
         agent.upstream_starts += 1;
+        agent.is_upstream_leaving = false;
+        let cold = agent.cold.0.checked_sub(self.now);
         let worker = Worker {
             id: format!("u-{number}").into(),
             started_at: Some(agent.upstream_starts),
@@ -118,6 +126,7 @@
             capacity: resources(agent.cores, agent.memory_mib),
             clock: millis(self.now),
             sequence: 1,
+            cold_remaining: cold.filter(|cold| !cold.is_zero()),
             ..Worker::default()
         };
         let actions = agent.host.handle_report(worker, self.now);
@@ -151,7 +160,7 @@
         }
     }
 
-    fn is_current_incarnation(&self, number: usize, incarnation: u64) -> bool {
+    pub(super) fn is_current_incarnation(&self, number: usize, incarnation: u64) -> bool {
         let agent = &self.agents[number];
         agent.is_up && agent.process.incarnation == incarnation
     }
@@ -215,6 +224,7 @@
                 }
                 Action::Start { task, .. } => {
                     self.check_evacuation(number);
+                    self.check_draining(number);
                     let event = Event::StartTask(number, incarnation, task);
                     self.event_queue.add(self.now + CALL_LATENCY, event);
                 }
@@ -288,6 +298,10 @@
     ) -> (Outcome, Option<Duration>) {
         let index = task.attempt.index as usize;
         let mut run_time = self.callers[caller].runs[index].div_f64(self.agents[number].speed);
+        let (cold_until, cold_factor) = self.agents[number].cold;
+        if self.now < cold_until {
+            run_time = run_time.mul_f64(cold_factor.max(0.01));
+        }
         let at = self.now.saturating_sub(crate::caller::FIRST_ARRIVAL);
         let active = self.scenario.disturbances.iter();
         let active = active.filter(|disturbance| {
@@ -343,6 +357,7 @@
             return;
         }
         if let Some(run) = self.agents[number].upstream.stop(task) {
+            self.tally.stopped += 1;
             self.record_run_end(&run);
         }
         let clock = Some(millis(self.now));
@@ -377,7 +392,7 @@
     }
 
     /// Records that a run is over, however it ended.
-    fn record_run_end(&mut self, run: &Run) {
+    pub(super) fn record_run_end(&mut self, run: &Run) {
         self.invariants
             .record_end(&run.task.job, run.task.attempt.index);
         self.tally.work += self.work(run);
--- a/crates/cassiarock-lab/src/simulation/mod.rs
+++ b/crates/cassiarock-lab/src/simulation/mod.rs
@@ -4,6 +4,7 @@
 mod callers;
 mod emptying;
 mod entries;
+mod replacing;
 mod tally;
 
 use crate::caller::{Caller, FIRST_ARRIVAL, callers};
@@ -155,6 +156,7 @@
             Event::UpstreamRestarts(agent, incarnation) => {
                 self.restart_upstream(agent, incarnation)
             }
+            Event::UpstreamLeaves(agent, incarnation) => self.end_upstream(agent, incarnation),
             Event::DisturbanceBegins(number) => self.begin_disturbance(number),
             Event::DisturbanceEnds(number) => self.end_disturbance(number),
         }
@@ -200,6 +202,7 @@
                 }
             }
             DisturbanceKind::Emptied => self.update_evacuations(),
+            DisturbanceKind::Replaced => self.announce_ends(&disturbance),
             DisturbanceKind::Burst
             | DisturbanceKind::Slow
             | DisturbanceKind::Failing
@@ -213,6 +216,9 @@
         if disturbance.kind == DisturbanceKind::Emptied {
             self.update_evacuations();
         }
+        if disturbance.kind == DisturbanceKind::Replaced {
+            self.replace_upstreams(&disturbance);
+        }
         if !matches!(
             disturbance.kind,
             DisturbanceKind::Lost | DisturbanceKind::AllLost
--- a/crates/cassiarock-lab/src/simulation/tally.rs
+++ b/crates/cassiarock-lab/src/simulation/tally.rs
@@ -37,6 +37,10 @@
     pub(super) started: u64,
     /// Upstream crashes caused by tasks.
     pub(super) crashes: u64,
+    /// Runs that terminated with an upstream that had announced its end.
+    pub(super) lost_by_leaving: u64,
+    /// Runs that were stopped.
+    pub(super) stopped: u64,
     /// Core-seconds of all runs.
     pub(super) work: f64,
     /// Core-seconds of the finished tasks, by job.
@@ -165,6 +169,8 @@
             ),
             max_queue: self.max_queue,
             crashes: self.crashes,
+            lost_by_leaving: self.lost_by_leaving,
+            stopped: self.stopped,
             worth: scorer.worth(),
             unserved: scorer.unserved(),
             kinds,
--- a/crates/cassiarock-transient/src/host/entries.rs
+++ b/crates/cassiarock-transient/src/host/entries.rs
@@ -24,6 +24,7 @@
         let retained: Vec<AttemptResult> =
             state.retained.iter().map(|(_, result)| *result).collect();
         let upstream = self.upstream_for(entry);
+        let upstream = upstream.map(|upstream| self.notices.describe(upstream, now));
         let mut actions = vec![
             Action::Send(entry.clone(), Message::Upstream(upstream)),
             Action::Send(entry.clone(), Message::Held(held)),
--- a/crates/cassiarock-transient/src/host/incarnations.rs
+++ b/crates/cassiarock-transient/src/host/incarnations.rs
@@ -2,6 +2,7 @@
 
 use super::health::Health;
 use super::lease::Lease;
+use super::notice::Notices;
 use super::run::{Run, Snapshot, Task};
 use super::worker::Worker;
 use super::{Action, Host};
@@ -73,13 +74,14 @@
     }
 
     fn update(&mut self, worker: Worker, now: Duration, actions: &mut Vec<Action>) {
-        let before = self.upstream();
+        let before = (self.upstream(), self.notices);
+        self.notices = before.1.after(&worker, now);
         self.worker = match self.worker.take() {
             Some(known) => Some(worker.with_history_of(known)),
             None => Some(worker),
         };
-        if self.upstream() != before {
-            self.announce_upstream(actions, "the upstream changed");
+        if self.upstream() != before.0 || self.notices.is_news_after(before.1, now) {
+            self.announce_upstream_at(now, actions, "the upstream changed");
             self.send_heartbeat_to_all(now, actions);
         }
     }
@@ -102,6 +104,7 @@
         };
         self.lose_all(Outcome::Crashed, "the upstream restarted", now, actions);
         self.lease = Lease::new(worker.clock, now);
+        self.notices = Notices::of(&worker, now);
         if let Some(started_at) = worker.started_at {
             self.fence = started_at.max(self.fence.saturating_add(1));
         }
@@ -117,7 +120,7 @@
         for (task, run) in in_flight {
             self.keep_in_flight(task, run, now, actions);
         }
-        self.announce_upstream(actions, reason);
+        self.announce_upstream_at(now, actions, reason);
     }
 
     /// Stops an order that may still reach the new incarnation. It is finished once a response to a
@@ -155,6 +158,8 @@
             clock: snapshot.clock,
             sequence: 0,
             is_leaving: false,
+            remaining: None,
+            cold_remaining: None,
             is_unreported: true,
             ..known.clone()
         };
--- a/crates/cassiarock-transient/src/host/mod.rs
+++ b/crates/cassiarock-transient/src/host/mod.rs
@@ -6,6 +6,7 @@
 mod health;
 mod incarnations;
 mod lease;
+mod notice;
 mod offer;
 mod orders;
 mod run;
@@ -24,6 +25,7 @@
 use entry_state::EntryState;
 use health::Health;
 use lease::Lease;
+use notice::Notices;
 use offer::Offer;
 use run::Runs;
 use std::collections::BTreeMap;
@@ -61,6 +63,8 @@
     runs: Runs,
     /// Entries that are linked or have tasks here.
     entries: BTreeMap<Process, EntryState>,
+    /// When the upstream ends and when it is warm, as it has announced.
+    notices: Notices,
     /// The health of the upstream, from its latest results.
     health: Health,
     /// The upstream's clock and leases.
--- /dev/null
+++ b/crates/cassiarock-transient/src/host/notice.rs
@@ -0,0 +1,65 @@
+//! What an upstream announces of its time: when it ends, for upstreams replaced at short notice, and
+//! when it is as fast as usual, for upstreams that start cold.
+
+use super::worker::Worker;
+use crate::message::Upstream;
+use crate::timing::MAX_NOTICE;
+use std::time::Duration;
+
+/// Entries are told again of a time that has changed by this much. They check what depends on it
+/// every 20 ms.
+const TOLERANCE: Duration = Duration::from_millis(20);
+
+/// The announced times of one incarnation of the upstream, on the agent's clock.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Notices {
+    /// When everything on the upstream terminates at the earliest.
+    ends_at: Option<Duration>,
+    /// When it is warm.
+    warm_at: Option<Duration>,
+}
+
+impl Notices {
+    /// The times that a report of a new incarnation announces.
+    pub(super) fn of(worker: &Worker, now: Duration) -> Self {
+        Self::default().after(worker, now)
+    }
+
+    /// The times after a later report of the same incarnation. A leaving upstream that leaves out
+    /// the time left has not withdrawn it. Small differences are the delay of the reports.
+    pub(super) fn after(self, worker: &Worker, now: Duration) -> Self {
+        let at = |left: Duration| now + left.min(MAX_NOTICE);
+        let told = worker.remaining.map(at).or(self.ends_at);
+        let ends_at = told.filter(|_| worker.is_leaving);
+        let cold = worker.cold_remaining.filter(|left| !left.is_zero());
+        Self {
+            ends_at: keep_similar(self.ends_at, ends_at),
+            warm_at: keep_similar(self.warm_at, cold.map(at)),
+        }
+    }
+
+    /// Whether entries have to be told of the change from `before`. A time that has passed needs no
+    /// withdrawal.
+    pub(super) fn is_news_after(self, before: Self, now: Duration) -> bool {
+        let is_cold = |notices: Self| notices.warm_at.filter(|at| *at > now);
+        self.ends_at != before.ends_at || is_cold(self) != is_cold(before)
+    }
+
+    /// The description of the upstream with the times that are left.
+    pub(super) fn describe(self, upstream: Upstream, now: Duration) -> Upstream {
+        let left = |at: Duration| at.saturating_sub(now);
+        Upstream {
+            remaining: self.ends_at.map(left),
+            cold_remaining: self.warm_at.map(left).filter(|left| !left.is_zero()),
+            ..upstream
+        }
+    }
+}
+
+/// The time announced before if the new one is about the same.
+fn keep_similar(before: Option<Duration>, new: Option<Duration>) -> Option<Duration> {
+    match (before, new) {
+        (Some(before), Some(new)) if before.abs_diff(new) <= TOLERANCE => Some(before),
+        _ => new,
+    }
+}
--- a/crates/cassiarock-transient/src/host/upstream.rs
+++ b/crates/cassiarock-transient/src/host/upstream.rs
@@ -84,20 +84,45 @@
         }
     }
 
+    /// Describes the upstream to all entries. The times that it has announced need not be repeated.
     pub(super) fn announce_upstream(&mut self, actions: &mut Vec<Action>, reason: &'static str) {
-        let upstream = self.upstream();
+        self.announce(|_, upstream| upstream, actions, reason);
+    }
+
+    /// Describes the upstream to all entries, with the times that it has announced.
+    pub(super) fn announce_upstream_at(
+        &mut self,
+        now: Duration,
+        actions: &mut Vec<Action>,
+        reason: &'static str,
+    ) {
+        let describe = |host: &Self, upstream| host.notices.describe(upstream, now);
+        self.announce(describe, actions, reason);
+    }
+
+    fn announce(
+        &mut self,
+        describe: impl Fn(&Self, Upstream) -> Upstream,
+        actions: &mut Vec<Action>,
+        reason: &'static str,
+    ) {
+        let upstream = self.upstream().map(|upstream| describe(self, upstream));
         let mut decision = Decision::new("upstream", "", "").with("reason", reason);
         if let Some(upstream) = &upstream {
             decision = decision
                 .with("upstream", upstream.incarnation())
                 .with("service", &upstream.service)
                 .with("cpu", upstream.capacity.cpu)
-                .with("leaving", upstream.is_leaving);
+                .with("leaving", upstream.is_leaving)
+                .with("ends_in_ms", in_millis(upstream.remaining))
+                .with("cold_for_ms", in_millis(upstream.cold_remaining));
         }
         actions.push(Action::Log(decision));
         for (entry, state) in &self.entries {
             if state.is_linked {
-                let message = Message::Upstream(self.upstream_for(entry));
+                let upstream = self.upstream_for(entry);
+                let upstream = upstream.map(|upstream| describe(self, upstream));
+                let message = Message::Upstream(upstream);
                 actions.push(Action::Send(entry.clone(), message));
             }
         }
@@ -177,3 +202,8 @@
         }
     }
 }
+
+/// A time for the log, in milliseconds.
+fn in_millis(left: Option<Duration>) -> String {
+    left.map_or_else(String::new, |left| left.as_millis().to_string())
+}
--- a/crates/cassiarock-transient/src/host/worker.rs
+++ b/crates/cassiarock-transient/src/host/worker.rs
@@ -3,6 +3,7 @@
 use crate::message::Upstream;
 use crate::{Incarnation, Resources};
 use cassiarock_id::Name;
+use std::time::Duration;
 
 /// Number of previous incarnations that are remembered, so that a report that the network delayed
 /// is not taken for a new incarnation.
@@ -23,6 +24,10 @@
     pub labels: Vec<Name>,
     /// Whether it takes no new work.
     pub is_leaving: bool,
+    /// The least time left until everything on it terminates, at the time of the report.
+    pub remaining: Option<Duration>,
+    /// How much longer it stays slow after its start, at the time of the report.
+    pub cold_remaining: Option<Duration>,
     /// The upstream's clock at the time of the report, in milliseconds.
     pub clock: u64,
     /// The sequence number of the report.
@@ -45,6 +50,7 @@
             capacity: self.capacity,
             labels: self.labels.clone(),
             is_leaving: self.is_leaving,
+            ..Upstream::default()
         }
     }
 
--- a/crates/cassiarock-transient/src/message.rs
+++ b/crates/cassiarock-transient/src/message.rs
@@ -168,7 +168,8 @@
 }
 
 /// Description of an agent's upstream.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde_as]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Upstream {
     /// The upstream's id.
     pub id: Name,
@@ -184,6 +185,15 @@
     pub labels: Vec<Name>,
     /// Whether it takes no new work.
     pub is_leaving: bool,
+    /// The least time left until everything on it terminates, if it leaves and says so. A leaving
+    /// upstream described without it keeps the end that was told before.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    pub remaining: Option<Duration>,
+    /// How much longer it stays slow after its start.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    pub cold_remaining: Option<Duration>,
 }
 
 impl Upstream {
--- a/crates/cassiarock-transient/src/scheduler/active_job.rs
+++ b/crates/cassiarock-transient/src/scheduler/active_job.rs
@@ -252,6 +252,20 @@
         self.has_run || tasks.any(|task| task.agent().is_some())
     }
 
+    /// The expected time from the end of a stage to the end of the job.
+    pub(super) fn time_after(&self, stage: usize) -> Duration {
+        let mut after = vec![Duration::ZERO; self.expected.len()];
+        for (index, later) in self.job.stages.iter().enumerate().rev() {
+            let chain = after[index].saturating_add(self.expected[index]);
+            for dependency in &later.dependencies {
+                if let Some(after) = after.get_mut(*dependency) {
+                    *after = chain.max(*after);
+                }
+            }
+        }
+        after.get(stage).copied().unwrap_or_default()
+    }
+
     /// Whether all dependencies of a stage are done.
     pub(super) fn is_stage_ready(&self, stage: usize) -> bool {
         let is_done = |dependency: &usize| {
--- a/crates/cassiarock-transient/src/scheduler/agent.rs
+++ b/crates/cassiarock-transient/src/scheduler/agent.rs
@@ -1,5 +1,6 @@
 //! An entry's view of an agent and its upstream.
 
+use super::placement::tenure::Tenure;
 use crate::Resources;
 use crate::message::{Load, Upstream};
 use crate::timing::{QUIET_TIMEOUT, RECLAIM_DELAY};
@@ -16,6 +17,8 @@
     newest: Option<(Upstream, Duration)>,
     /// The incarnation before the newest one.
     previous: Option<Upstream>,
+    /// How long the newest incarnation stays.
+    pub(super) tenure: Tenure,
     pub(super) load: Load,
     pub(super) is_linked: bool,
     pub(super) data_centre: Name,
@@ -48,6 +51,7 @@
             upstream: None,
             newest: None,
             previous: None,
+            tenure: Tenure::default(),
             load: Load::default(),
             is_linked: true,
             data_centre,
@@ -89,6 +93,7 @@
                 }
                 None => now,
             };
+            self.tenure = self.tenure.after(present, is_same, now);
             self.newest = Some((present.clone(), known_since));
         }
         self.upstream = upstream;
--- a/crates/cassiarock-transient/src/scheduler/fault/lost.rs
+++ b/crates/cassiarock-transient/src/scheduler/fault/lost.rs
@@ -2,7 +2,7 @@
 
 use crate::Decision;
 use crate::message::{Attempt, Message, Outcome};
-use crate::scheduler::active_job::ActiveJob;
+use crate::scheduler::active_job::{ActiveJob, Phase};
 use crate::scheduler::endings::place_again;
 use crate::scheduler::{Action, Scheduler};
 use cassiarock_id::Process;
@@ -11,7 +11,8 @@
 impl Scheduler {
     /// Compares the attempts that an agent reports on a new link with those placed there. Attempts
     /// that it does not have are placed again: either their order was lost on the way, or the
-    /// report of their end was lost with the old link. Attempts that nobody waits for are stopped.
+    /// report of their end was lost with the old link. Attempts that nobody waits for are stopped, and
+    /// so are those that are being moved.
     pub(in crate::scheduler) fn reconcile(
         &mut self,
         from: &Process,
@@ -26,7 +27,9 @@
             .iter()
             .filter(|attempt| {
                 let active = self.jobs.get_mut(&attempt.number);
-                active.is_none_or(|active| active.current_task(from, attempt).is_none())
+                let task = active.and_then(|active| active.current_task(from, attempt));
+                // The order to stop a task that is being moved may have been lost with the old link.
+                task.is_none_or(|task| matches!(task.phase, Phase::Moving(..)))
             })
             .copied()
             .collect();
--- a/crates/cassiarock-transient/src/scheduler/link.rs
+++ b/crates/cassiarock-transient/src/scheduler/link.rs
@@ -71,7 +71,9 @@
                 let decision = match &upstream {
                     Some(upstream) => decision
                         .with("upstream", upstream.incarnation())
-                        .with("leaving", upstream.is_leaving),
+                        .with("leaving", upstream.is_leaving)
+                        .with("ends_in_ms", in_millis(upstream.remaining))
+                        .with("cold_for_ms", in_millis(upstream.cold_remaining)),
                     None => decision.with("upstream", "none"),
                 };
                 actions.push(Action::Log(decision));
@@ -198,3 +200,8 @@
         }
     }
 }
+
+/// A time for the log, in milliseconds.
+fn in_millis(left: Option<Duration>) -> String {
+    left.map_or_else(String::new, |left| left.as_millis().to_string())
+}
--- a/crates/cassiarock-transient/src/scheduler/mechanisms.rs
+++ b/crates/cassiarock-transient/src/scheduler/mechanisms.rs
@@ -23,6 +23,8 @@
     pub ejection: bool,
     /// Places no task on a slow upstream where it would be late, and moves overdue tasks away.
     pub moving: bool,
+    /// Moves tasks away from leaving upstreams where they are not expected to end.
+    pub leaving: bool,
     /// Prefers other upstreams than those where a task has failed.
     pub avoidance: bool,
     /// Prefers to place tasks of one job together.
@@ -34,7 +36,7 @@
 /// The name of a mechanism and an accessor of its field.
 type Field = (&'static str, fn(&mut Mechanisms) -> &mut bool);
 
-const FIELDS: [Field; 13] = [
+const FIELDS: [Field; 14] = [
     ("admission", |mechanisms| &mut mechanisms.admission),
     ("expiry", |mechanisms| &mut mechanisms.expiry),
     ("whole_starts", |mechanisms| &mut mechanisms.whole_starts),
@@ -45,6 +47,7 @@
     ("waited_last", |mechanisms| &mut mechanisms.waited_last),
     ("ejection", |mechanisms| &mut mechanisms.ejection),
     ("moving", |mechanisms| &mut mechanisms.moving),
+    ("leaving", |mechanisms| &mut mechanisms.leaving),
     ("avoidance", |mechanisms| &mut mechanisms.avoidance),
     ("together", |mechanisms| &mut mechanisms.together),
     ("suspicion", |mechanisms| &mut mechanisms.suspicion),
@@ -63,6 +66,7 @@
             waited_last: true,
             ejection: true,
             moving: true,
+            leaving: true,
             avoidance: true,
             together: true,
             suspicion: true,
--- a/crates/cassiarock-transient/src/scheduler/mod.rs
+++ b/crates/cassiarock-transient/src/scheduler/mod.rs
@@ -270,6 +270,7 @@
             self.end_jobs_cut_short(now, &mut actions);
             self.end_hopeless_jobs(now, &mut actions);
             self.handle_missed_starts(now, &mut actions);
+            self.clear_leaving_upstreams(now, &mut actions);
             self.move_overdue_tasks(now, &mut actions);
             self.heartbeat(now, &mut actions);
             self.may_place = true;
--- a/crates/cassiarock-transient/src/scheduler/placement/mod.rs
+++ b/crates/cassiarock-transient/src/scheduler/placement/mod.rs
@@ -6,4 +6,5 @@
 mod place;
 pub(super) mod placement_rate;
 pub(super) mod run_time;
+pub(super) mod tenure;
 pub(super) mod upstream_kinds;
--- a/crates/cassiarock-transient/src/scheduler/queue/admit.rs
+++ b/crates/cassiarock-transient/src/scheduler/queue/admit.rs
@@ -110,7 +110,7 @@
 
     /// The demand of the waiting tasks queued before `active`: in thousandths of a core, and in
     /// core-milliseconds.
-    fn queued_before(&self, active: &ActiveJob) -> (u64, f64) {
+    pub(in crate::scheduler) fn queued_before(&self, active: &ActiveJob) -> (u64, f64) {
         let before = self.queue.range(..active.rank());
         let before = before.filter_map(|rank| self.jobs.get(&rank.number));
         before.fold((0, 0.0), |(cpu, core_millis), job| {
--- a/crates/cassiarock-transient/src/timing.rs
+++ b/crates/cassiarock-transient/src/timing.rs
@@ -36,6 +36,10 @@
 /// `CONTACT_TIMEOUT`, or else a connection that went silent would cost the tasks behind it.
 pub const LINK_TIMEOUT: Duration = Duration::from_millis(350);
 
+/// The longest time that an upstream may announce, far longer than any transient task. It keeps sums
+/// of times small, whatever an upstream reports.
+pub const MAX_NOTICE: Duration = Duration::from_secs(24 * 3_600);
+
 const _: () = assert!(
     CONTACT_TIMEOUT.as_millis() + LEASE.as_millis() + STOP_MARGIN.as_millis()
         <= RECLAIM_DELAY.as_millis(),
--- a/crates/cassiarock-transient/tests/extremes.rs
+++ b/crates/cassiarock-transient/tests/extremes.rs
@@ -151,14 +151,17 @@
 }
 
 fn message() -> impl Strategy<Value = Message> {
-    let upstream = (resources(), any::<bool>(), proptest::option::of(edge())).prop_map(
-        |(capacity, is_leaving, started_at)| Upstream {
+    let left = || proptest::option::of(duration());
+    let upstream = (resources(), any::<bool>(), proptest::option::of(edge()), left(), left()).prop_map(
+        |(capacity, is_leaving, started_at, remaining, cold_remaining)| Upstream {
             id: "u".into(),
             started_at,
             service: "s".into(),
             capacity,
             labels: vec![],
             is_leaving,
+            remaining,
+            cold_remaining,
         },
     );
     let result =
@@ -269,9 +272,11 @@
         edge(),
         proptest::option::of(edge()),
         any::<bool>(),
+        proptest::option::of(duration()),
+        proptest::option::of(duration()),
     )
         .prop_map(
-            |(capacity, clock, sequence, started_at, is_leaving)| Worker {
+            |(capacity, clock, sequence, started_at, is_leaving, remaining, cold_remaining)| Worker {
                 id: "u".into(),
                 started_at,
                 service: "s".into(),
@@ -279,6 +284,8 @@
                 clock,
                 sequence,
                 is_leaving,
+                remaining,
+                cold_remaining,
                 ..Worker::default()
             },
         );
@@ -342,6 +349,7 @@
                 capacity: Resources::new(10_000, 10_000, 0),
                 labels: vec![],
                 is_leaving: false,
+                ..Upstream::default()
             };
             entry.receive(number, Message::Upstream(Some(upstream)));
             entry.beat(number);
--- a/crates/cassiarock-transient/tests/scheduler/answers.rs
+++ b/crates/cassiarock-transient/tests/scheduler/answers.rs
@@ -143,6 +143,7 @@
         capacity: cassiarock_transient::Resources::new(20_000, 2_000, 0),
         labels: vec![],
         is_leaving: false,
+        ..cassiarock_transient::message::Upstream::default()
     };
     let message = cassiarock_transient::Message::Upstream(Some(upstream));
     harness.deliver(&large, message);
@@ -213,6 +214,7 @@
             },
             labels: vec![],
             is_leaving: false,
+            ..cassiarock_transient::message::Upstream::default()
         };
         harness.deliver(
             agent,
--- a/crates/cassiarock-transient/tests/scheduler/ask.rs
+++ b/crates/cassiarock-transient/tests/scheduler/ask.rs
@@ -85,6 +85,7 @@
         capacity: CAPACITY,
         labels: vec![],
         is_leaving: false,
+        ..Upstream::default()
     };
     harness.deliver(&agent(1), Message::Upstream(Some(other)));
     harness.report_full();
--- a/crates/cassiarock-transient/tests/scheduler/harness.rs
+++ b/crates/cassiarock-transient/tests/scheduler/harness.rs
@@ -86,6 +86,7 @@
             capacity: CAPACITY,
             labels: vec![],
             is_leaving,
+            ..Upstream::default()
         };
         self.deliver(agent, Message::Upstream(Some(upstream)));
     }
