--- a/crates/cassiarock-lab/src/simulation/replacing.rs
+++ b/crates/cassiarock-lab/src/simulation/replacing.rs
@@ -62,7 +62,10 @@
     pub(super) fn check_draining(&mut self, number: usize) {
         let agent = &self.agents[number];
         if agent.is_upstream_leaving {
-            let fault = format!("{} ordered a start on a leaving upstream", agent.process.name);
+            let fault = format!(
+                "{} ordered a start on a leaving upstream",
+                agent.process.name
+            );
             self.invariants.report_violation(fault);
         }
     }
--- a/crates/cassiarock-lab/tests/play.rs
+++ b/crates/cassiarock-lab/tests/play.rs
@@ -24,6 +24,8 @@
     small = { "small.jsonc", 0.86 },
     large = { "large.jsonc", 0.92 },
     emptied = { "emptied.jsonc", 0.97 },
+    replaced = { "replaced.jsonc", 0.98 },
+    cold = { "cold.jsonc", 0.90 },
     overload = { "twice-and-a-half.jsonc", 0.48 },
 )]
 fn invariants_hold_and_most_callers_are_answered_in_time(name: &str, min_in_time: f64) {
--- a/crates/cassiarock-transient/src/scheduler/fault/leaving.rs
+++ b/crates/cassiarock-transient/src/scheduler/fault/leaving.rs
@@ -262,11 +262,20 @@
             .with("agent", &self.agent)
             .with("stage", self.attempt.stage)
             .with("index", self.attempt.index)
-            .with("upstream_left_ms", outlook.ends_at.saturating_sub(now).as_millis())
+            .with(
+                "upstream_left_ms",
+                outlook.ends_at.saturating_sub(now).as_millis(),
+            )
             .with("notice_age_ms", age.as_millis())
             .with("ran_ms", outlook.elapsed().as_millis())
-            .with("expected_end_ms", expected_end.saturating_sub(now).as_millis())
+            .with(
+                "expected_end_ms",
+                expected_end.saturating_sub(now).as_millis(),
+            )
             .with("chance_here", format_args!("{:.2}", outlook.chance_here()))
-            .with("worth_elsewhere", format_args!("{:.2}", outlook.worth_elsewhere()))
+            .with(
+                "worth_elsewhere",
+                format_args!("{:.2}", outlook.worth_elsewhere()),
+            )
     }
 }
--- a/crates/cassiarock-transient/tests/extremes.rs
+++ b/crates/cassiarock-transient/tests/extremes.rs
@@ -152,18 +152,25 @@
 
 fn message() -> impl Strategy<Value = Message> {
     let left = || proptest::option::of(duration());
-    let upstream = (resources(), any::<bool>(), proptest::option::of(edge()), left(), left()).prop_map(
-        |(capacity, is_leaving, started_at, remaining, cold_remaining)| Upstream {
-            id: "u".into(),
-            started_at,
-            service: "s".into(),
-            capacity,
-            labels: vec![],
-            is_leaving,
-            remaining,
-            cold_remaining,
-        },
-    );
+    let upstream = (
+        resources(),
+        any::<bool>(),
+        proptest::option::of(edge()),
+        left(),
+        left(),
+    )
+        .prop_map(
+            |(capacity, is_leaving, started_at, remaining, cold_remaining)| Upstream {
+                id: "u".into(),
+                started_at,
+                service: "s".into(),
+                capacity,
+                labels: vec![],
+                is_leaving,
+                remaining,
+                cold_remaining,
+            },
+        );
     let result =
         (attempt(), outcome(), duration()).prop_map(|(attempt, outcome, ran)| AttemptResult {
             attempt,
@@ -276,17 +283,19 @@
         proptest::option::of(duration()),
     )
         .prop_map(
-            |(capacity, clock, sequence, started_at, is_leaving, remaining, cold_remaining)| Worker {
-                id: "u".into(),
-                started_at,
-                service: "s".into(),
-                capacity,
-                clock,
-                sequence,
-                is_leaving,
-                remaining,
-                cold_remaining,
-                ..Worker::default()
+            |(capacity, clock, sequence, started_at, is_leaving, remaining, cold_remaining)| {
+                Worker {
+                    id: "u".into(),
+                    started_at,
+                    service: "s".into(),
+                    capacity,
+                    clock,
+                    sequence,
+                    is_leaving,
+                    remaining,
+                    cold_remaining,
+                    ..Worker::default()
+                }
             },
         );
     let running = vec((1..4_u64, key()), 0..4).prop_map(|rows| {
--- a/crates/cassiarock-transient/tests/host/main.rs
+++ b/crates/cassiarock-transient/tests/host/main.rs
@@ -4,6 +4,7 @@
 
 mod harness;
 mod lifecycle;
+mod notices;
 mod orders;
 mod polls;
 mod restarts;
--- a/crates/cassiarock-transient/tests/scheduler/main.rs
+++ b/crates/cassiarock-transient/tests/scheduler/main.rs
@@ -8,6 +8,7 @@
 mod burst;
 mod crashes;
 mod harness;
+mod leaving;
 mod losses;
 mod order;
 mod reserve;
