--- a/crates/cassiarock-transient/src/host/health.rs
+++ b/crates/cassiarock-transient/src/host/health.rs
@@ -14,6 +14,9 @@
 /// The weight of one result in the moving average: the last ten make up two thirds of it.
 const SLOWDOWN_WEIGHT: f64 = 0.1;
 
+/// The weight of one result of a cold upstream, which becomes faster with each task.
+const COLD_WEIGHT: f64 = 0.25;
+
 /// The slowdown of one task is limited to these bounds, so that no single one distorts the average.
 const SLOWDOWN_BOUNDS: (f64, f64) = (0.2, 8.0);
 
@@ -23,6 +26,8 @@
     /// The time, the job and whether the task failed.
     results: VecDeque<(Duration, Name, bool)>,
     slowdown: f64,
+    /// The number of run times seen, while the upstream is cold.
+    cold_results: Option<u32>,
 }
 
 impl Default for Health {
@@ -30,11 +35,35 @@
         Self {
             results: VecDeque::new(),
             slowdown: 1.0,
+            cold_results: None,
         }
     }
 }
 
 impl Health {
+    /// Sets whether the upstream is cold. Its slowdown is forgotten when it is warm.
+    pub(super) const fn set_cold(&mut self, is_cold: bool) {
+        match (is_cold, self.cold_results) {
+            (true, None) => self.cold_results = Some(0),
+            (false, Some(_)) => {
+                self.cold_results = None;
+                self.slowdown = 1.0;
+            }
+            _ => {}
+        }
+    }
+
+    /// The weight of the next run time: a cold upstream shows with its first tasks how slow it is.
+    fn next_weight(&mut self) -> f64 {
+        match &mut self.cold_results {
+            Some(results) => {
+                *results = results.saturating_add(1);
+                COLD_WEIGHT.max(1.0 / f64::from(*results))
+            }
+            None => SLOWDOWN_WEIGHT,
+        }
+    }
+
     pub(super) fn record(
         &mut self,
         job: &Name,
@@ -56,8 +85,9 @@
         self.results.push_back((now, job.clone(), failed));
         if !failed && !expected.is_zero() {
             let slowdown = ran.as_secs_f64() / expected.as_secs_f64();
-            self.slowdown += SLOWDOWN_WEIGHT
-                * (slowdown.clamp(SLOWDOWN_BOUNDS.0, SLOWDOWN_BOUNDS.1) - self.slowdown);
+            let weight = self.next_weight();
+            self.slowdown +=
+                weight * (slowdown.clamp(SLOWDOWN_BOUNDS.0, SLOWDOWN_BOUNDS.1) - self.slowdown);
         }
     }
 
--- a/crates/cassiarock-transient/src/host/mod.rs
+++ b/crates/cassiarock-transient/src/host/mod.rs
@@ -125,6 +125,7 @@
     /// Performs everything that is due by time: stops, lease expiry, offers and heartbeats.
     pub fn poll(&mut self, now: Duration) -> Vec<Action> {
         let mut actions = Vec::new();
+        self.health.set_cold(self.notices.is_cold(now));
         self.stop_abandoned(now, &mut actions);
         self.retry_unconfirmed_stops(now, &mut actions);
         self.expire_leases(now, &mut actions);
--- a/crates/cassiarock-transient/src/host/notice.rs
+++ b/crates/cassiarock-transient/src/host/notice.rs
@@ -25,24 +25,38 @@
         Self::default().after(worker, now)
     }
 
-    /// The times after a later report of the same incarnation. A leaving upstream that leaves out
-    /// the time left has not withdrawn it. Small differences are the delay of the reports.
+    /// The times after a later report of the same incarnation. One that leaves out a time has not
+    /// withdrawn it. Small differences are the delay of the reports.
     pub(super) fn after(self, worker: &Worker, now: Duration) -> Self {
         let at = |left: Duration| now + left.min(MAX_NOTICE);
         let told = worker.remaining.map(at).or(self.ends_at);
         let ends_at = told.filter(|_| worker.is_leaving);
-        let cold = worker.cold_remaining.filter(|left| !left.is_zero());
+        let warm_at = match (worker.cold_remaining, self.warm_at) {
+            (Some(Duration::ZERO), known) => known.map(|known| known.min(now)),
+            (Some(left), known) => keep_similar(known, Some(at(left))),
+            (None, known) => known,
+        };
         Self {
             ends_at: keep_similar(self.ends_at, ends_at),
-            warm_at: keep_similar(self.warm_at, cold.map(at)),
+            warm_at,
         }
     }
 
+    pub(super) fn is_cold(self, now: Duration) -> bool {
+        self.warm_at.is_some_and(|warm_at| now < warm_at)
+    }
+
+    /// Whether a run that began at `since` shows how fast the upstream is now: one that began while
+    /// it was cold shows nothing once it is warm.
+    pub(super) fn is_telling(self, since: Duration, now: Duration) -> bool {
+        self.is_cold(now) || !self.is_cold(since)
+    }
+
     /// Whether entries have to be told of the change from `before`. A time that has passed needs no
     /// withdrawal.
     pub(super) fn is_news_after(self, before: Self, now: Duration) -> bool {
-        let is_cold = |notices: Self| notices.warm_at.filter(|at| *at > now);
-        self.ends_at != before.ends_at || is_cold(self) != is_cold(before)
+        let cold_until = |notices: Self| notices.warm_at.filter(|at| *at > now);
+        self.ends_at != before.ends_at || cold_until(self) != cold_until(before)
     }
 
     /// The description of the upstream with the times that are left.
@@ -50,7 +64,7 @@
         let left = |at: Duration| at.saturating_sub(now);
         Upstream {
             remaining: self.ends_at.map(left),
-            cold_remaining: self.warm_at.map(left).filter(|left| !left.is_zero()),
+            cold_remaining: self.warm_at.map(left),
             ..upstream
         }
     }
--- a/crates/cassiarock-transient/src/host/snapshots.rs
+++ b/crates/cassiarock-transient/src/host/snapshots.rs
@@ -181,8 +181,13 @@
         let ran = now.saturating_sub(run.since);
         // Of the outcomes, only completions and failures count as signs of the upstream's health;
         // unanswered starts and ordered stops don't.
-        self.health
-            .record(&task.job, outcome, ran, run.expected, now);
+        let expected = if self.notices.is_telling(run.since, now) {
+            run.expected
+        } else {
+            Duration::ZERO
+        };
+        self.health.set_cold(self.notices.is_cold(now));
+        self.health.record(&task.job, outcome, ran, expected, now);
         if !matches!(outcome, Outcome::Done) {
             let decision = Decision::new("ended", run.request.clone(), task.job.clone())
                 .with("task", task)
--- a/crates/cassiarock-transient/src/scheduler/endings.rs
+++ b/crates/cassiarock-transient/src/scheduler/endings.rs
@@ -163,6 +163,8 @@
         let agent = self.agents.get(from);
         // The agent is known, since it has just reported the end.
         let pace = agent.map_or(1.0, |agent| agent.pace(self.median_pace));
+        let began = now.saturating_sub(ending.ran);
+        let is_cold = agent.is_some_and(|agent| agent.tenure.is_cold(began));
         let Some(active) = self.jobs.get_mut(&ending.attempt.number) else {
             return;
         };
@@ -176,7 +178,10 @@
             active.tasks_left = active.tasks_left.saturating_sub(1);
         }
         let estimate = active.job.stages[stage].estimate.as_secs_f64();
-        if estimate > 0.0 {
+        let expected = active.expected[stage].as_secs_f64();
+        if is_cold && expected > 0.0 {
+            self.cold_pace.observe(ending.ran.as_secs_f64() / expected);
+        } else if estimate > 0.0 {
             let ratio = ending.ran.as_secs_f64() / pace / estimate;
             self.run_times.observe(&active.class.route, ratio);
         }
--- a/crates/cassiarock-transient/src/scheduler/fault/leaving.rs
+++ b/crates/cassiarock-transient/src/scheduler/fault/leaving.rs
@@ -121,7 +121,7 @@
         let Phase::Placed(_, since) = task.phase else {
             return None;
         };
-        let pace = self.agents.get(process)?.pace(self.median_pace);
+        let pace = self.pace_of(self.agents.get(process)?, now);
         let expected = active.expected[stage];
         let then = active.time_after(stage);
         Some(Outlook {
--- a/crates/cassiarock-transient/src/scheduler/mechanisms.rs
+++ b/crates/cassiarock-transient/src/scheduler/mechanisms.rs
@@ -25,6 +25,8 @@
     pub moving: bool,
     /// Moves tasks away from leaving upstreams where they are not expected to end.
     pub leaving: bool,
+    /// Gives upstreams that are slow after their start what ends in time there.
+    pub warming: bool,
     /// Prefers other upstreams than those where a task has failed.
     pub avoidance: bool,
     /// Prefers to place tasks of one job together.
@@ -36,7 +38,7 @@
 /// The name of a mechanism and an accessor of its field.
 type Field = (&'static str, fn(&mut Mechanisms) -> &mut bool);
 
-const FIELDS: [Field; 14] = [
+const FIELDS: [Field; 15] = [
     ("admission", |mechanisms| &mut mechanisms.admission),
     ("expiry", |mechanisms| &mut mechanisms.expiry),
     ("whole_starts", |mechanisms| &mut mechanisms.whole_starts),
@@ -48,6 +50,7 @@
     ("ejection", |mechanisms| &mut mechanisms.ejection),
     ("moving", |mechanisms| &mut mechanisms.moving),
     ("leaving", |mechanisms| &mut mechanisms.leaving),
+    ("warming", |mechanisms| &mut mechanisms.warming),
     ("avoidance", |mechanisms| &mut mechanisms.avoidance),
     ("together", |mechanisms| &mut mechanisms.together),
     ("suspicion", |mechanisms| &mut mechanisms.suspicion),
@@ -67,6 +70,7 @@
             ejection: true,
             moving: true,
             leaving: true,
+            warming: true,
             avoidance: true,
             together: true,
             suspicion: true,
--- a/crates/cassiarock-transient/src/scheduler/mod.rs
+++ b/crates/cassiarock-transient/src/scheduler/mod.rs
@@ -20,6 +20,7 @@
 use fault::crash::Crashes;
 use placement::placement_rate::PlacementRate;
 use placement::run_time::RunTimeRatios;
+use placement::tenure::ColdPace;
 use placement::upstream_kinds::UpstreamKinds;
 use queue::patience::Patience;
 use queue::rank::Rank;
@@ -56,6 +57,8 @@
     placement_rate: PlacementRate,
     /// The ratio of run times to estimates.
     run_times: RunTimeRatios,
+    /// How slow cold upstreams are.
+    cold_pace: ColdPace,
     /// How long callers usually wait.
     patience: Patience,
     /// The room to keep free for more urgent jobs.
--- a/crates/cassiarock-transient/src/scheduler/placement/choose.rs
+++ b/crates/cassiarock-transient/src/scheduler/placement/choose.rs
@@ -43,9 +43,10 @@
             job_stage.demand.fits_in(agent.free())
                 && is_eligible(active, job_stage, agent, now)
                 && is_below_max_per_upstream(active, stage, job_stage, process)
+                && self.is_warm_enough(active, stage, agent, now)
         });
         let costs = candidates.filter_map(|(process, agent)| {
-            let pace = agent.pace(self.median_pace);
+            let pace = self.pace_of(agent, now);
             let expected = active.expected[stage].mul_f64(pace);
             let would_be_late = now + expected > active.on_time_until;
             if self.mechanisms.moving
