--- a/crates/cassiarock-transient/tests/host/notices.rs
+++ b/crates/cassiarock-transient/tests/host/notices.rs
@@ -2,8 +2,8 @@
 
 use crate::harness::{Harness, entry, ms};
 use cassiarock_transient::Message;
-use cassiarock_transient::host::{Action, Worker};
-use cassiarock_transient::message::Upstream;
+use cassiarock_transient::host::{Action, StartResponse, Worker};
+use cassiarock_transient::message::{Outcome, Upstream};
 use std::time::Duration;
 
 impl Harness {
@@ -84,3 +84,35 @@
     let told = harness.report_worker(harness.leaving(2, Some(Duration::MAX)));
     assert_eq!(told[0].remaining, Some(Duration::from_secs(86_400)));
 }
+
+#[test]
+fn the_slowness_of_a_cold_upstream_shows_with_its_first_task_and_is_forgotten_when_it_is_warm() {
+    let mut harness = Harness::new();
+    let cold = Worker {
+        cold_remaining: Some(ms(1_000)),
+        sequence: 2,
+        ..harness.host.worker().cloned().unwrap()
+    };
+    let told = harness.report_worker(cold);
+    assert_eq!(told[0].cold_remaining, Some(ms(1_000)));
+    harness.order(1, "job", 1);
+    let task = harness.starts[0].0.clone();
+    harness.respond_to_start(&task, StartResponse::Started);
+    harness.now += ms(400);
+    let actions = harness.end_in_poll(1, "job", 1, Outcome::Done);
+    harness.apply(actions);
+    assert_eq!(harness.load.slowdown_percent, 400);
+    harness.advance(800);
+    assert_eq!(harness.load.slowdown_percent, 100);
+}
+
+#[test]
+fn an_upstream_that_was_never_cold_is_not_described_as_such() {
+    let mut harness = Harness::new();
+    let warm = Worker {
+        cold_remaining: Some(ms(0)),
+        sequence: 2,
+        ..harness.host.worker().cloned().unwrap()
+    };
+    assert!(harness.report_worker(warm).is_empty());
+}
--- a/crates/cassiarock-transient/tests/scheduler/main.rs
+++ b/crates/cassiarock-transient/tests/scheduler/main.rs
@@ -6,6 +6,7 @@
 mod answers;
 mod ask;
 mod burst;
+mod cold;
 mod crashes;
 mod harness;
 mod leaving;
