--- a/crates/cassiarock-lab/src/event.rs
+++ b/crates/cassiarock-lab/src/event.rs
@@ -38,6 +38,8 @@
     AgentStarts(usize),
     /// A link of an agent to an entry opens, each with its incarnation.
     LinkOpens((usize, u64), (usize, u64)),
+    /// An upstream terminates as announced, in this incarnation of its agent.
+    UpstreamLeaves(usize, u64),
     /// A disturbance begins, by its index in the scenario.
     DisturbanceBegins(usize),
     /// A disturbance ends, by its index in the scenario.
--- a/crates/cassiarock-lab/src/simulation/mod.rs
+++ b/crates/cassiarock-lab/src/simulation/mod.rs
@@ -4,6 +4,7 @@
 mod callers;
 mod emptying;
 mod entries;
+mod replacing;
 mod tally;
 
 use crate::caller::{Caller, FIRST_ARRIVAL, callers};
@@ -161,6 +162,7 @@
             Event::EntryStarts(entry) => self.start_entry(entry),
             Event::AgentStarts(agent) => self.start_agent(agent),
             Event::LinkOpens(agent, entry) => self.open_link(agent, entry),
+            Event::UpstreamLeaves(agent, incarnation) => self.end_upstream(agent, incarnation),
             Event::DisturbanceBegins(number) => self.begin_disturbance(number),
             Event::DisturbanceEnds(number) => self.end_disturbance(number),
         }
@@ -206,6 +208,7 @@
                 }
             }
             DisturbanceKind::Emptied => self.update_evacuations(),
+            DisturbanceKind::Replaced => self.announce_ends(&disturbance),
             DisturbanceKind::Burst
             | DisturbanceKind::Slow
             | DisturbanceKind::Failing
@@ -219,6 +222,9 @@
         if disturbance.kind == DisturbanceKind::Emptied {
             self.update_evacuations();
         }
+        if disturbance.kind == DisturbanceKind::Replaced {
+            self.replace_upstreams(&disturbance);
+        }
         if !matches!(
             disturbance.kind,
             DisturbanceKind::Lost | DisturbanceKind::AllLost
--- a/crates/cassiarock-transient/src/host/mod.rs
+++ b/crates/cassiarock-transient/src/host/mod.rs
@@ -6,6 +6,7 @@
 mod health;
 mod incarnations;
 mod lease;
+mod notice;
 mod offer;
 mod orders;
 mod run;
@@ -24,6 +25,7 @@
 use entry_state::EntryState;
 use health::Health;
 use lease::Lease;
+use notice::Notices;
 use offer::Offer;
 use run::Runs;
 use std::collections::BTreeMap;
@@ -61,6 +63,8 @@
     runs: Runs,
     /// Entries that are linked or have tasks here.
     entries: BTreeMap<Process, EntryState>,
+    /// When the upstream ends and when it is warm, as it has announced.
+    notices: Notices,
     /// The health of the upstream, from its latest results.
     health: Health,
     /// The upstream's clock and leases.
@@ -121,6 +125,7 @@
     /// Performs everything that is due by time: stops, lease expiry, offers and heartbeats.
     pub fn poll(&mut self, now: Duration) -> Vec<Action> {
         let mut actions = Vec::new();
+        self.health.set_cold(self.notices.is_cold(now));
         self.stop_abandoned(now, &mut actions);
         self.retry_unconfirmed_stops(now, &mut actions);
         self.expire_leases(now, &mut actions);
--- a/crates/cassiarock-transient/src/scheduler/mechanisms.rs
+++ b/crates/cassiarock-transient/src/scheduler/mechanisms.rs
@@ -23,6 +23,10 @@
     pub ejection: bool,
     /// Places no task on a slow upstream where it would be late, and moves overdue tasks away.
     pub moving: bool,
+    /// Moves tasks away from leaving upstreams where they are not expected to end.
+    pub leaving: bool,
+    /// Gives upstreams that are slow after their start what ends in time there.
+    pub warming: bool,
     /// Prefers other upstreams than those where a task has failed.
     pub avoidance: bool,
     /// Prefers to place tasks of one job together.
@@ -36,7 +40,7 @@
 /// The name of a mechanism and an accessor of its field.
 type Field = (&'static str, fn(&mut Mechanisms) -> &mut bool);
 
-const FIELDS: [Field; 14] = [
+const FIELDS: [Field; 16] = [
     ("admission", |mechanisms| &mut mechanisms.admission),
     ("expiry", |mechanisms| &mut mechanisms.expiry),
     ("whole_starts", |mechanisms| &mut mechanisms.whole_starts),
@@ -47,6 +51,8 @@
     ("waited_last", |mechanisms| &mut mechanisms.waited_last),
     ("ejection", |mechanisms| &mut mechanisms.ejection),
     ("moving", |mechanisms| &mut mechanisms.moving),
+    ("leaving", |mechanisms| &mut mechanisms.leaving),
+    ("warming", |mechanisms| &mut mechanisms.warming),
     ("avoidance", |mechanisms| &mut mechanisms.avoidance),
     ("together", |mechanisms| &mut mechanisms.together),
     ("suspicion", |mechanisms| &mut mechanisms.suspicion),
@@ -66,6 +72,8 @@
             waited_last: true,
             ejection: true,
             moving: true,
+            leaving: true,
+            warming: true,
             avoidance: true,
             together: true,
             suspicion: true,
--- a/crates/cassiarock-transient/src/scheduler/mod.rs
+++ b/crates/cassiarock-transient/src/scheduler/mod.rs
@@ -20,6 +20,7 @@
 use fault::crash::Crashes;
 use placement::placement_rate::PlacementRate;
 use placement::run_time::RunTimeRatios;
+use placement::tenure::ColdPace;
 use placement::upstream_kinds::UpstreamKinds;
 use queue::expectation::Expectation;
 use queue::patience::Patience;
@@ -58,6 +59,8 @@
     placement_rate: PlacementRate,
     /// The ratio of run times to estimates.
     run_times: RunTimeRatios,
+    /// How slow cold upstreams are.
+    cold_pace: ColdPace,
     /// How long callers usually wait.
     patience: Patience,
     /// The room to expect after a start.
@@ -304,6 +307,7 @@
             self.end_jobs_cut_short(now, &mut actions);
             self.end_hopeless_jobs(now, &mut actions);
             self.handle_missed_starts(now, &mut actions);
+            self.clear_leaving_upstreams(now, &mut actions);
             self.move_overdue_tasks(now, &mut actions);
             self.heartbeat(now, &mut actions);
             self.observe_room(now);
--- a/crates/cassiarock-transient/src/scheduler/queue/mod.rs
+++ b/crates/cassiarock-transient/src/scheduler/queue/mod.rs
@@ -1,8 +1,8 @@
 //! Which jobs are admitted, in which order they are placed, and when they are refused.
 
 mod admit;
-pub(super) mod expectation;
 pub(super) mod cause;
+pub(super) mod expectation;
 mod expire;
 pub(super) mod patience;
 pub(super) mod rank;
--- a/crates/cassiarock-transient/tests/extremes.rs
+++ b/crates/cassiarock-transient/tests/extremes.rs
@@ -151,16 +151,26 @@
 }
 
 fn message() -> impl Strategy<Value = Message> {
-    let upstream = (resources(), any::<bool>(), proptest::option::of(edge())).prop_map(
-        |(capacity, is_leaving, started_at)| Upstream {
-            id: "u".into(),
-            started_at,
-            service: "s".into(),
-            capacity,
-            labels: vec![],
-            is_leaving,
-        },
-    );
+    let left = || proptest::option::of(duration());
+    let upstream = (
+        resources(),
+        any::<bool>(),
+        proptest::option::of(edge()),
+        left(),
+        left(),
+    )
+        .prop_map(
+            |(capacity, is_leaving, started_at, remaining, cold_remaining)| Upstream {
+                id: "u".into(),
+                started_at,
+                service: "s".into(),
+                capacity,
+                labels: vec![],
+                is_leaving,
+                remaining,
+                cold_remaining,
+            },
+        );
     let result =
         (attempt(), outcome(), duration()).prop_map(|(attempt, outcome, ran)| AttemptResult {
             attempt,
@@ -269,17 +279,23 @@
         edge(),
         proptest::option::of(edge()),
         any::<bool>(),
+        proptest::option::of(duration()),
+        proptest::option::of(duration()),
     )
         .prop_map(
-            |(capacity, clock, sequence, started_at, is_leaving)| Worker {
-                id: "u".into(),
-                started_at,
-                service: "s".into(),
-                capacity,
-                clock,
-                sequence,
-                is_leaving,
-                ..Worker::default()
+            |(capacity, clock, sequence, started_at, is_leaving, remaining, cold_remaining)| {
+                Worker {
+                    id: "u".into(),
+                    started_at,
+                    service: "s".into(),
+                    capacity,
+                    clock,
+                    sequence,
+                    is_leaving,
+                    remaining,
+                    cold_remaining,
+                    ..Worker::default()
+                }
             },
         );
     let running = vec((1..4_u64, key()), 0..4).prop_map(|rows| {
@@ -342,6 +358,7 @@
                 capacity: Resources::new(10_000, 10_000, 0),
                 labels: vec![],
                 is_leaving: false,
+                ..Upstream::default()
             };
             entry.receive(number, Message::Upstream(Some(upstream)));
             entry.beat(number);
