Learn run times by kind of upstream, and tell slow upstreams from slow kinds

Cause: one ratio a route and one pace an upstream against the median of all; with kinds of 0.7 and 1.7 the objective was taken for 1.43 times what it is, and a kind differed from the median as a slow upstream does. Expected run times sent to agents are now of their kind, so that reported slowdowns are relative to it. The usual run times can be exported and adopted; no record is wired yet.

--- a/crates/cassiarock-transient/src/scheduler/active_job.rs
+++ b/crates/cassiarock-transient/src/scheduler/active_job.rs
@@ -128,7 +128,9 @@
     pub(super) caller_deadline: Duration,
     /// The duration of the longest chain of stages, corrected by the run times of the route.
     pub(super) critical_path: Duration,
-    /// The expected run time of a task of each stage.
+    /// The ratio of run times to the caller's estimates on upstreams of the mean speed.
+    pub(super) ratio: f64,
+    /// The expected run time of a task of each stage on upstreams of the mean speed.
     pub(super) expected: Vec<Duration>,
     /// Whether the caller had waited before it submitted the job, so that the answer will be late.
     pub(super) has_waited: bool,
@@ -166,6 +168,7 @@
             useful_until: now + (objective * MAX_LATENESS).min(patience),
             caller_deadline: now + patience,
             critical_path,
+            ratio,
             expected: job
                 .stages
                 .iter()
--- a/crates/cassiarock-transient/src/scheduler/agent.rs
+++ b/crates/cassiarock-transient/src/scheduler/agent.rs
@@ -32,6 +32,10 @@
     unacknowledged: VecDeque<(u64, Resources)>,
     /// The number of tasks placed there that have not ended.
     pub(super) placed: usize,
+    /// The kind of its upstream; empty while none is known.
+    pub(super) kind: Name,
+    /// The median slowdown of its kind, in hundredths.
+    pub(super) median: f64,
     /// Whether it gets no tasks because too many of its recent tasks failed.
     pub(super) is_ejected: bool,
     /// Whether it holds room for this entry for a short time.
@@ -57,6 +61,8 @@
             serial: 0,
             unacknowledged: VecDeque::new(),
             placed: 0,
+            kind: Name::from(""),
+            median: 100.0,
             is_ejected: false,
             is_offered: false,
             last_echo: Duration::ZERO,
@@ -155,9 +161,9 @@
         now.saturating_sub(self.last_heard) >= RECLAIM_DELAY
     }
 
-    /// How long its tasks run relative to the median upstream.
-    pub(super) fn pace(&self, median: f64) -> f64 {
-        f64::from(self.load.slowdown_percent.max(1)) / median.max(1.0)
+    /// How long its tasks run relative to the median upstream of its kind.
+    pub(super) fn pace(&self) -> f64 {
+        f64::from(self.load.slowdown_percent.max(1)) / self.median
     }
 
     pub(super) fn serves(&self, service: &str) -> bool {
--- a/crates/cassiarock-transient/src/scheduler/endings.rs
+++ b/crates/cassiarock-transient/src/scheduler/endings.rs
@@ -1,6 +1,7 @@
 //! Handling of attempts that ended, and the completion and failure of jobs.
 
 use super::active_job::{ActiveJob, Phase, Task};
+use super::agent::Agent;
 use super::{Action, Answer, Latency, Scheduler, job_decision};
 use crate::message::{AttemptResult, Outcome, Upstream};
 use crate::{Decision, Resources};
@@ -162,7 +163,8 @@
     ) {
         let agent = self.agents.get(from);
         // The agent is known, since it has just reported the end.
-        let pace = agent.map_or(1.0, |agent| agent.pace(self.median_pace));
+        let pace = agent.map_or(1.0, Agent::pace);
+        let kind = agent.map(|agent| agent.kind.clone()).unwrap_or_default();
         let Some(active) = self.jobs.get_mut(&ending.attempt.number) else {
             return;
         };
@@ -178,7 +180,7 @@
         let estimate = active.job.stages[stage].estimate.as_secs_f64();
         if estimate > 0.0 {
             let ratio = ending.ran.as_secs_f64() / pace / estimate;
-            self.run_times.observe(&active.class.route, ratio);
+            self.run_times.observe(&active.class.route, &kind, ratio);
         }
         if active.tasks_left == 0 {
             self.complete(ending.attempt.number, now, actions);
--- a/crates/cassiarock-transient/src/scheduler/fault/eject.rs
+++ b/crates/cassiarock-transient/src/scheduler/fault/eject.rs
@@ -12,22 +12,10 @@
 const MAX_EJECTED_DIVISOR: usize = 3;
 
 impl Scheduler {
-    /// Computes the median pace of the upstreams, in hundredths and at least 1.
-    fn compute_median_pace(&self) -> f64 {
-        let mut paces: Vec<u16> = self
-            .agents
-            .values()
-            .filter(|agent| agent.is_linked && agent.load.slowdown_percent > 0)
-            .map(|agent| agent.load.slowdown_percent)
-            .collect();
-        paces.sort_unstable();
-        f64::from(paces.get(paces.len() / 2).copied().unwrap_or(100).max(1))
-    }
-
     /// Ejects the upstreams that fail most, up to a maximum. An agent forgets how tasks ended
     /// after three seconds, so an upstream that gets no work for that long is tried again.
     pub(in crate::scheduler) fn update_ejections(&mut self) {
-        self.median_pace = self.compute_median_pace();
+        self.update_paces();
         let max_ejected = if self.mechanisms.ejection {
             self.agents.len() / MAX_EJECTED_DIVISOR
         } else {
--- a/crates/cassiarock-transient/src/scheduler/fault/mod.rs
+++ b/crates/cassiarock-transient/src/scheduler/fault/mod.rs
@@ -4,3 +4,4 @@
 mod eject;
 mod lost;
 mod overdue;
+pub(super) mod pace;
--- a/crates/cassiarock-transient/src/scheduler/fault/overdue.rs
+++ b/crates/cassiarock-transient/src/scheduler/fault/overdue.rs
@@ -27,11 +27,10 @@
         if !self.mechanisms.moving {
             return;
         }
-        let median = self.median_pace;
         let slow: Vec<Process> = self
             .agents
             .iter()
-            .filter(|(_, agent)| agent.pace(median) > SLOW_PACE && agent.placed > 0)
+            .filter(|(_, agent)| agent.pace() > SLOW_PACE && agent.placed > 0)
             .map(|(process, _)| process.clone())
             .collect();
         for process in slow {
@@ -57,12 +56,15 @@
         };
         let (stage, index) = (attempt.stage as usize, attempt.index as usize);
         let task = &active.tasks[stage][index];
-        let Phase::Placed(_, since) = &task.phase else {
+        let Phase::Placed(task_agent, since) = &task.phase else {
             return false;
         };
-        let expected = active.expected[stage];
-        let bound = expected.mul_f64(OVERDUE_FACTOR).max(expected + MIN_OVERDUE);
-        let next_end = now + expected;
+        let agent = self.agents.get(task_agent);
+        let here = agent.map_or(active.expected[stage], |agent| {
+            self.expected_on(active, stage, agent)
+        });
+        let bound = here.mul_f64(OVERDUE_FACTOR).max(here + MIN_OVERDUE);
+        let next_end = now + active.expected[stage];
         task.moves < MAX_MOVES
             && now >= *since + bound
             && next_end < active.useful_until
--- /dev/null
+++ b/crates/cassiarock-transient/src/scheduler/fault/pace.rs
@@ -0,0 +1,54 @@
+//! How fast an upstream is for its kind, and how much of each kind there is.
+//!
+//! Where upstreams are of several speeds, one that has turned slow differs from the others of its
+//! kind, and not from the median of all.
+
+use crate::scheduler::Scheduler;
+use cassiarock_id::Name;
+use std::collections::BTreeMap;
+
+/// The fewest upstreams of a kind that tell its median. Of fewer, a slow one would be the median.
+const MIN_UPSTREAMS: usize = 3;
+
+/// How much there is of a kind of upstream.
+#[derive(Clone, Copy, Debug, Default)]
+pub(in crate::scheduler) struct KindSize {
+    pub(in crate::scheduler) upstreams: usize,
+    pub(in crate::scheduler) cores: f64,
+}
+
+impl Scheduler {
+    /// Updates the medians of the reported slowdown, in hundredths, and the size of each kind.
+    pub(in crate::scheduler) fn update_paces(&mut self) {
+        let mut all = Vec::new();
+        let mut kinds: BTreeMap<Name, (Vec<u16>, f64)> = BTreeMap::new();
+        let agents = self.agents.values().filter(|agent| agent.is_linked);
+        for agent in agents.filter(|agent| agent.load.slowdown_percent > 0) {
+            all.push(agent.load.slowdown_percent);
+            let (slowdowns, cores) = kinds.entry(agent.kind.clone()).or_default();
+            slowdowns.push(agent.load.slowdown_percent);
+            *cores += agent.capacity().cpu as f64 / 1000.0;
+        }
+        let overall = median(&mut all);
+        let mut medians = BTreeMap::new();
+        self.kind_sizes.clear();
+        for (kind, (mut slowdowns, cores)) in kinds {
+            let upstreams = slowdowns.len();
+            let size = KindSize { upstreams, cores };
+            self.kind_sizes.insert(kind.clone(), size);
+            if slowdowns.len() >= MIN_UPSTREAMS {
+                medians.insert(kind, median(&mut slowdowns));
+            }
+        }
+        for agent in self.agents.values_mut() {
+            agent.median = medians.get(&agent.kind).copied().unwrap_or(overall);
+        }
+    }
+}
+
+/// The median, at least 1; 100 of none.
+fn median(slowdowns: &mut [u16]) -> f64 {
+    slowdowns.sort_unstable();
+    let middle = slowdowns.get(slowdowns.len() / 2);
+    f64::from(middle.copied().unwrap_or(100).max(1))
+}
--- a/crates/cassiarock-transient/src/scheduler/link.rs
+++ b/crates/cassiarock-transient/src/scheduler/link.rs
@@ -79,6 +79,7 @@
                     self.upstream_kinds.add(upstream);
                 }
                 agent.set_upstream(upstream, now);
+                self.update_kinds();
             }
             Message::Ended {
                 clock,
--- a/crates/cassiarock-transient/src/scheduler/mechanisms.rs
+++ b/crates/cassiarock-transient/src/scheduler/mechanisms.rs
@@ -27,6 +27,8 @@
     pub avoidance: bool,
     /// Prefers to place tasks of one job together.
     pub together: bool,
+    /// Learns run times by the kind of upstream.
+    pub kinds: bool,
     /// Gives up tasks that crash upstreams, and keeps suspected ones apart.
     pub suspicion: bool,
 }
@@ -34,7 +36,7 @@
 /// The name of a mechanism and an accessor of its field.
 type Field = (&'static str, fn(&mut Mechanisms) -> &mut bool);
 
-const FIELDS: [Field; 13] = [
+const FIELDS: [Field; 14] = [
     ("admission", |mechanisms| &mut mechanisms.admission),
     ("expiry", |mechanisms| &mut mechanisms.expiry),
     ("whole_starts", |mechanisms| &mut mechanisms.whole_starts),
@@ -47,6 +49,7 @@
     ("moving", |mechanisms| &mut mechanisms.moving),
     ("avoidance", |mechanisms| &mut mechanisms.avoidance),
     ("together", |mechanisms| &mut mechanisms.together),
+    ("kinds", |mechanisms| &mut mechanisms.kinds),
     ("suspicion", |mechanisms| &mut mechanisms.suspicion),
 ];
 
@@ -65,6 +68,7 @@
             moving: true,
             avoidance: true,
             together: true,
+            kinds: true,
             suspicion: true,
         }
     }
--- a/crates/cassiarock-transient/src/scheduler/mod.rs
+++ b/crates/cassiarock-transient/src/scheduler/mod.rs
@@ -18,8 +18,9 @@
 use agent::Agent;
 use cassiarock_id::{Name, Process};
 use fault::crash::Crashes;
+use fault::pace::KindSize;
 use placement::placement_rate::PlacementRate;
-use placement::run_time::RunTimeRatios;
+use placement::run_time::RunTimes;
 use placement::upstream_kinds::UpstreamKinds;
 use queue::patience::Patience;
 use queue::rank::Rank;
@@ -31,6 +32,7 @@
 
 pub use action::{Action, Answer, Latency};
 pub use mechanisms::Mechanisms;
+pub use placement::run_time::RunTime;
 
 /// A process that was frozen for this long may hold requests whose callers have left and submitted
 /// them elsewhere. It learns of that from its sockets first.
@@ -55,7 +57,9 @@
     /// The rate at which work is placed.
     placement_rate: PlacementRate,
     /// The ratio of run times to estimates.
-    run_times: RunTimeRatios,
+    run_times: RunTimes,
+    /// How much there is of each kind of upstream.
+    kind_sizes: BTreeMap<Name, KindSize>,
     /// How long callers usually wait.
     patience: Patience,
     /// The room to keep free for more urgent jobs.
@@ -68,8 +72,6 @@
     last_check: Duration,
     /// Until when all jobs have to be answered, if the process is leaving.
     shutdown_deadline: Option<Duration>,
-    /// The median of the upstreams' pace, in hundredths.
-    median_pace: f64,
     /// The version of the configuration in force.
     version: u64,
     /// The data centres that operators are evacuating.
@@ -179,7 +181,7 @@
         patience: Duration,
         now: Duration,
     ) -> Vec<Action> {
-        let ratio = self.run_times.ratio(&class.route);
+        let ratio = self.reference_ratio(&class.route);
         let has_waited =
             self.mechanisms.waited_last && self.patience.has_waited(&class.route, patience);
         self.patience.observe(&class.route, patience);
@@ -240,6 +242,23 @@
         self.patience.adopt(route, least);
     }
 
+    /// What was learned of the run times of each route on each kind of upstream, where it was
+    /// learned from enough tasks to be told to other processes.
+    ///
+    /// ```
+    /// assert_eq!(cassiarock_transient::Scheduler::new().usual_run_times().count(), 0);
+    /// ```
+    pub fn usual_run_times(&self) -> impl Iterator<Item = (&Name, &Name, RunTime)> {
+        self.run_times.iter()
+    }
+
+    /// Takes over what was recorded before this process started of a route's run times on a kind of
+    /// upstream. It counts until this process has seen enough tasks itself; what is implausible is
+    /// left out.
+    pub fn adopt_run_times(&mut self, route: &Name, kind: &Name, learned: RunTime) {
+        self.run_times.adopt(route, kind, learned);
+    }
+
     /// Drops a job whose caller has left or has cancelled it, and stops its tasks.
     pub fn abandon(&mut self, number: u64, reason: &'static str, now: Duration) -> Vec<Action> {
         let mut actions = Vec::new();
--- a/crates/cassiarock-transient/src/scheduler/placement/choose.rs
+++ b/crates/cassiarock-transient/src/scheduler/placement/choose.rs
@@ -45,8 +45,8 @@
                 && is_below_max_per_upstream(active, stage, job_stage, process)
         });
         let costs = candidates.filter_map(|(process, agent)| {
-            let pace = agent.pace(self.median_pace);
-            let expected = active.expected[stage].mul_f64(pace);
+            let pace = agent.pace();
+            let expected = self.expected_on(active, stage, agent).mul_f64(pace);
             let would_be_late = now + expected > active.on_time_until;
             if self.mechanisms.moving
                 && pace > SLOW_PACE
@@ -71,7 +71,12 @@
             } else {
                 (is_avoided, has_suspect, 0)
             };
-            let cost = cost(job_stage, agent, pace, random) - bonus;
+            let cost = cost(
+                job_stage,
+                agent,
+                pace * self.kind_ratio(active, agent),
+                random,
+            ) - bonus;
             Some((preference, cost, process))
         });
         let best = costs.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
--- a/crates/cassiarock-transient/src/scheduler/placement/mod.rs
+++ b/crates/cassiarock-transient/src/scheduler/placement/mod.rs
@@ -3,6 +3,7 @@
 mod ask;
 pub(super) mod choose;
 mod cost;
+mod kind;
 mod place;
 pub(super) mod placement_rate;
 pub(super) mod run_time;
--- a/crates/cassiarock-transient/src/scheduler/placement/place.rs
+++ b/crates/cassiarock-transient/src/scheduler/placement/place.rs
@@ -137,6 +137,8 @@
             let expected = active.expected[stage];
             self.placement_rate
                 .add(core_millis(demand.cpu, expected), now);
+            let agent = self.agents.get(&process);
+            let expected = agent.map_or(expected, |agent| self.expected_on(active, stage, agent));
             let task = &mut active.tasks[stage][index];
             task.phase = Phase::Placed(process.clone(), now);
             starts.entry(process).or_default().push(Start {
--- a/crates/cassiarock-transient/tests/scheduler/main.rs
+++ b/crates/cassiarock-transient/tests/scheduler/main.rs
@@ -12,3 +12,4 @@
 mod order;
 mod reserve;
 mod shutdown;
+mod uneven;
