Leave fast upstreams to callers with little time left

Cause: the least expected end sent every task to the fast upstreams first; jobs that had waited then went to slow ones, late for certain. Now a task waits for a fast place where the kind alone makes it late; with the fast room taken, speed counts less for jobs that end in time by the 0.9 quantile; the latest start is that on the fastest kind. The placed decision logs kind, run time there, and whether data is far. No test was changed.

--- a/crates/cassiarock-transient/src/scheduler/active_job.rs
+++ b/crates/cassiarock-transient/src/scheduler/active_job.rs
@@ -128,6 +128,8 @@
     pub(super) caller_deadline: Duration,
     /// The duration of the longest chain of stages, corrected by the run times of the route.
     pub(super) critical_path: Duration,
+    /// How long tasks run on the fastest kind of upstream, relative to the expected run time.
+    pub(super) fastest: f64,
     /// The ratio of run times to the caller's estimates on upstreams of the mean speed.
     pub(super) ratio: f64,
     /// The expected run time of a task of each stage on upstreams of the mean speed.
@@ -169,6 +171,7 @@
             caller_deadline: now + patience,
             critical_path,
             ratio,
+            fastest: 1.0,
             expected: job
                 .stages
                 .iter()
@@ -191,10 +194,32 @@
         Self { has_waited, ..self }
     }
 
-    /// The latest start with which the job is expected to be on time.
+    /// Sets the ratio of run times to the caller's estimates on the fastest kind of upstream.
+    pub(super) fn with_fastest_ratio(self, fastest: Option<f64>) -> Self {
+        Self {
+            fastest: fastest.map_or(1.0, |fastest| (fastest / self.ratio).min(1.0)),
+            ..self
+        }
+    }
+
+    /// The expected run time of the longest chain of stages that depend on this one, without it.
+    pub(super) fn path_after(&self, stage: usize) -> Duration {
+        let mut ends: Vec<Option<Duration>> = vec![None; stage];
+        ends.push(Some(Duration::ZERO));
+        let stages = self.job.stages.iter().zip(&self.expected);
+        for (next, expected) in stages.skip(stage + 1) {
+            let dependencies = next.dependencies.iter();
+            let start = dependencies.filter_map(|index| ends.get(*index).copied().flatten());
+            ends.push(start.max().map(|start| start + *expected));
+        }
+        ends.into_iter().flatten().max().unwrap_or_default()
+    }
+
+    /// The latest start with which the job is expected to be on time, on the fastest kind of
+    /// upstream.
     pub(super) fn latest_start(&self) -> Duration {
         self.on_time_until
-            .saturating_sub(self.critical_path.mul_f64(SAFETY_FACTOR))
+            .saturating_sub(self.critical_path.mul_f64(SAFETY_FACTOR * self.fastest))
     }
 
     /// The rank in the queue.
--- a/crates/cassiarock-transient/src/scheduler/mechanisms.rs
+++ b/crates/cassiarock-transient/src/scheduler/mechanisms.rs
@@ -29,6 +29,8 @@
     pub together: bool,
     /// Learns run times by the kind of upstream.
     pub kinds: bool,
+    /// Leaves fast upstreams to callers with little time left.
+    pub uneven: bool,
     /// Gives up tasks that crash upstreams, and keeps suspected ones apart.
     pub suspicion: bool,
 }
@@ -36,7 +38,7 @@
 /// The name of a mechanism and an accessor of its field.
 type Field = (&'static str, fn(&mut Mechanisms) -> &mut bool);
 
-const FIELDS: [Field; 14] = [
+const FIELDS: [Field; 15] = [
     ("admission", |mechanisms| &mut mechanisms.admission),
     ("expiry", |mechanisms| &mut mechanisms.expiry),
     ("whole_starts", |mechanisms| &mut mechanisms.whole_starts),
@@ -50,6 +52,7 @@
     ("avoidance", |mechanisms| &mut mechanisms.avoidance),
     ("together", |mechanisms| &mut mechanisms.together),
     ("kinds", |mechanisms| &mut mechanisms.kinds),
+    ("uneven", |mechanisms| &mut mechanisms.uneven),
     ("suspicion", |mechanisms| &mut mechanisms.suspicion),
 ];
 
@@ -69,6 +72,7 @@
             avoidance: true,
             together: true,
             kinds: true,
+            uneven: true,
             suspicion: true,
         }
     }
--- a/crates/cassiarock-transient/src/scheduler/mod.rs
+++ b/crates/cassiarock-transient/src/scheduler/mod.rs
@@ -58,6 +58,8 @@
     placement_rate: PlacementRate,
     /// The ratio of run times to estimates.
     run_times: RunTimes,
+    /// The share of the room of the fastest upstreams that is taken.
+    fast_use: f64,
     /// How much there is of each kind of upstream.
     kind_sizes: BTreeMap<Name, KindSize>,
     /// How long callers usually wait.
@@ -182,6 +184,7 @@
         now: Duration,
     ) -> Vec<Action> {
         let ratio = self.reference_ratio(&class.route);
+        let fastest = self.fastest_ratio(&class.route);
         let has_waited =
             self.mechanisms.waited_last && self.patience.has_waited(&class.route, patience);
         self.patience.observe(&class.route, patience);
@@ -194,8 +197,9 @@
             })
         };
         self.reserve.record_arrival(class.priority, now);
-        let mut active =
-            ActiveJob::new(number, job, class, patience, ratio, now).with_waited(has_waited);
+        let mut active = ActiveJob::new(number, job, class, patience, ratio, now)
+            .with_waited(has_waited)
+            .with_fastest_ratio(fastest);
         self.crashes.restore(&mut active, now);
         let mut actions = Vec::new();
         if let Some(crashed) = active.crashed_agents() {
--- a/crates/cassiarock-transient/src/scheduler/placement/choose.rs
+++ b/crates/cassiarock-transient/src/scheduler/placement/choose.rs
@@ -55,6 +55,15 @@
             {
                 return None;
             }
+            let prospect = self.prospect(active, stage, agent, expected, now);
+            if self.mechanisms.uneven && prospect.is_too_slow() {
+                return None;
+            }
+            let ratio = if self.mechanisms.uneven {
+                prospect.weighed_ratio(self.fast_use)
+            } else {
+                prospect.ratio
+            };
             let is_avoided = self.mechanisms.avoidance && task.avoided.contains(process);
             let bonus = if self.mechanisms.together && starts.contains_key(process) {
                 SAME_JOB_BONUS
@@ -71,12 +80,7 @@
             } else {
                 (is_avoided, has_suspect, 0)
             };
-            let cost = cost(
-                job_stage,
-                agent,
-                pace * self.kind_ratio(active, agent),
-                random,
-            ) - bonus;
+            let cost = cost(job_stage, agent, pace * ratio, random) - bonus;
             Some((preference, cost, process))
         });
         let best = costs.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
--- a/crates/cassiarock-transient/src/scheduler/placement/mod.rs
+++ b/crates/cassiarock-transient/src/scheduler/placement/mod.rs
@@ -7,4 +7,5 @@
 mod place;
 pub(super) mod placement_rate;
 pub(super) mod run_time;
+mod uneven;
 pub(super) mod upstream_kinds;
--- a/crates/cassiarock-transient/src/scheduler/placement/place.rs
+++ b/crates/cassiarock-transient/src/scheduler/placement/place.rs
@@ -189,7 +189,14 @@
                     let age = now.saturating_sub(agent.last_heard);
                     (agent.free().cpu, age.as_millis())
                 });
-                format!("{process}:{}/free={free}/age_ms={age}", tasks.len())
+                let (kind, is_far) = agent.map_or(("", false), |agent| {
+                    let stages = tasks.iter().filter_map(|task| active.job.stages.get(task.stage as usize));
+                    let mut racks = stages.filter_map(|stage| stage.rack.as_ref());
+                    (&*agent.kind, racks.any(|rack| !agent.has_label(rack)))
+                });
+                let runs = tasks.iter().map(|task| task.expected.as_millis()).max();
+                let runs = runs.unwrap_or_default();
+                format!("{process}:{}/free={free}/age_ms={age}/kind={kind:?}/runs_ms={runs}/far={is_far}", tasks.len())
             })
             .collect();
         job_decision("placed", active, now)
--- a/crates/cassiarock-transient/src/scheduler/placement/run_time.rs
+++ b/crates/cassiarock-transient/src/scheduler/placement/run_time.rs
@@ -90,8 +90,12 @@
     /// The ratio of a route's tasks on a kind of upstream; as on other routes if it has run none.
     pub(in crate::scheduler) fn of(&self, route: &str, kind: &str) -> RunTime {
         let known = self.routes.get(route).and_then(|kinds| kinds.get(kind));
-        let known = known.or_else(|| self.kinds.get(kind));
-        known.copied().unwrap_or(RunTime::UNKNOWN)
+        known.copied().unwrap_or_else(|| self.of_kind(kind))
+    }
+
+    /// The ratio of all routes' tasks on a kind of upstream.
+    pub(in crate::scheduler) fn of_kind(&self, kind: &str) -> RunTime {
+        self.kinds.get(kind).copied().unwrap_or(RunTime::UNKNOWN)
     }
 
     /// Adds the ratio of a task that is done.
--- a/crates/cassiarock-transient/tests/scheduler/uneven.rs
+++ b/crates/cassiarock-transient/tests/scheduler/uneven.rs
@@ -167,3 +167,54 @@
         .adopt_run_times(&"r".into(), &FAST.into(), run_time(3.0, 4.0));
     assert_eq!(learned(&harness, FAST), own);
 }
+
+/// Takes the room of these agents.
+fn fill(harness: &mut Harness, agents: std::ops::Range<usize>) {
+    for number in agents {
+        harness.heartbeat_of(&agent(number), Resources::default());
+    }
+}
+
+// Of 500 ms by estimate, some 1.4 times as much on a slow upstream and 0.6 on a fast one.
+#[test]
+fn a_task_that_would_be_late_on_a_slow_upstream_waits_for_a_fast_one() {
+    let mut harness = uneven();
+    learn(&mut harness);
+    fill(&mut harness, 0..6);
+    harness.submit(100, 1, 500, 9_000);
+    harness.now += ms(250);
+    fill(&mut harness, 0..6);
+    harness.heartbeat_of(&agent(0), CAPACITY);
+    harness.poll();
+    assert!(harness.placed.is_empty(), "{:?}", harness.placed);
+    harness.heartbeat_of(&agent(3), CAPACITY);
+    harness.poll();
+    assert_eq!(harness.placed[0].agent, agent(3));
+}
+
+#[test]
+fn a_task_that_is_late_everywhere_goes_to_a_slow_upstream() {
+    let mut harness = uneven();
+    learn(&mut harness);
+    fill(&mut harness, 0..6);
+    harness.submit(100, 1, 500, 9_000);
+    harness.advance_full(700);
+    harness.heartbeat_of(&agent(0), CAPACITY);
+    harness.poll();
+    assert_eq!(harness.placed[0].agent, agent(0));
+}
+
+// One of thirty places of the fast upstreams is free, and 50 ms tasks are on time anywhere.
+#[test]
+fn short_tasks_leave_the_last_fast_room_to_others() {
+    let mut harness = uneven();
+    learn(&mut harness);
+    harness.heartbeat_all();
+    fill(&mut harness, 3..5);
+    harness.heartbeat_of(&agent(5), Resources::new(1_000, 1_000, 0));
+    harness.now += ms(20);
+    harness.poll();
+    harness.submit(100, 1, 30, 9_000);
+    let place = &harness.placed[0].agent;
+    assert!((0..3).any(|slow| *place == agent(slow)), "{place}");
+}
