Reckon with the kinds of a job's own service, and let labelled jobs wait for no faster kind

Cause: the reference and the fastest kind were taken over all services, and a job bound to a label could wait for upstreams without it until it was late there too. Found by reading.

--- a/crates/cassiarock-transient/src/scheduler/active_job.rs
+++ b/crates/cassiarock-transient/src/scheduler/active_job.rs
@@ -130,6 +130,8 @@
     pub(super) critical_path: Duration,
     /// How long tasks run on the fastest kind of upstream, relative to the expected run time.
     pub(super) fastest: f64,
+    /// Whether tasks may wait for the fastest kind.
+    pub(super) may_wait_for_fastest: bool,
     /// The ratio of run times to the caller's estimates on upstreams of the mean speed.
     pub(super) ratio: f64,
     /// The expected run time of a task of each stage on upstreams of the mean speed.
@@ -172,6 +174,7 @@
             critical_path,
             ratio,
             fastest: 1.0,
+            may_wait_for_fastest: false,
             expected: job
                 .stages
                 .iter()
@@ -197,6 +200,7 @@
     /// Sets the ratio of run times to the caller's estimates on the fastest kind of upstream.
     pub(super) fn with_fastest_ratio(self, fastest: Option<f64>) -> Self {
         Self {
+            may_wait_for_fastest: fastest.is_some(),
             fastest: fastest.map_or(1.0, |fastest| (fastest / self.ratio).min(1.0)),
             ..self
         }
--- a/crates/cassiarock-transient/src/scheduler/mod.rs
+++ b/crates/cassiarock-transient/src/scheduler/mod.rs
@@ -183,8 +183,8 @@
         patience: Duration,
         now: Duration,
     ) -> Vec<Action> {
-        let ratio = self.reference_ratio(&class.route);
-        let fastest = self.fastest_ratio(&class.route);
+        let ratio = self.reference_ratio(&class);
+        let fastest = self.fastest_ratio(&job, &class);
         let has_waited =
             self.mechanisms.waited_last && self.patience.has_waited(&class.route, patience);
         self.patience.observe(&class.route, patience);
--- a/crates/cassiarock-transient/src/scheduler/placement/choose.rs
+++ b/crates/cassiarock-transient/src/scheduler/placement/choose.rs
@@ -56,7 +56,7 @@
                 return None;
             }
             let prospect = self.prospect(active, stage, agent, expected, now);
-            if self.mechanisms.uneven && prospect.is_too_slow() {
+            if active.may_wait_for_fastest && prospect.is_too_slow() {
                 return None;
             }
             let ratio = if self.mechanisms.uneven {
--- a/crates/cassiarock-transient/src/scheduler/placement/kind.rs
+++ b/crates/cassiarock-transient/src/scheduler/placement/kind.rs
@@ -54,6 +54,12 @@
     upstreams.iter().map(kind).collect()
 }
 
+/// Whether upstreams of the kind belong to the service. All do while no kind is told.
+pub(super) fn is_of_service(kind: &str, service: &str) -> bool {
+    let rest = kind.strip_prefix(service);
+    kind.is_empty() || rest.is_some_and(|rest| rest.starts_with(' '))
+}
+
 impl Scheduler {
     /// Tells the kind of each agent's upstream anew, after the upstream of one has changed.
     pub(in crate::scheduler) fn update_kinds(&mut self) {
--- a/crates/cassiarock-transient/src/scheduler/placement/run_time.rs
+++ b/crates/cassiarock-transient/src/scheduler/placement/run_time.rs
@@ -1,7 +1,8 @@
 //! The ratio of actual run times to the callers' estimates, by route and kind of upstream, for
 //! deployments whose upstreams are of several speeds.
 
-use super::kind::MAX_KINDS;
+use super::kind::{MAX_KINDS, is_of_service};
+use crate::JobClass;
 use crate::scheduler::Scheduler;
 use crate::scheduler::active_job::ActiveJob;
 use crate::scheduler::agent::Agent;
@@ -170,10 +171,11 @@
     /// The ratio of a route on upstreams of usual speed, from which objectives follow, since they are
     /// the same whatever the upstream. It is that of the median upstream or of the mean core,
     /// whichever is faster, so that no job is taken to have more time than it has.
-    pub(in crate::scheduler) fn reference_ratio(&self, route: &str) -> f64 {
+    pub(in crate::scheduler) fn reference_ratio(&self, class: &JobClass) -> f64 {
         let kinds = self.kind_sizes.iter();
         let mut ratios: Vec<(f64, KindSize)> = kinds
-            .map(|(kind, size)| (self.run_times.of(route, kind).mean, *size))
+            .filter(|(kind, _)| is_of_service(kind, &class.service))
+            .map(|(kind, size)| (self.run_times.of(&class.route, kind).mean, *size))
             .collect();
         ratios.sort_by(|a, b| a.0.total_cmp(&b.0));
         let upstreams: usize = ratios.iter().map(|(_, size)| size.upstreams).sum();
--- a/crates/cassiarock-transient/src/scheduler/placement/uneven.rs
+++ b/crates/cassiarock-transient/src/scheduler/placement/uneven.rs
@@ -1,10 +1,12 @@
 //! Which kind of upstream gets a task, for bursts on upstreams of several speeds: callers with
 //! little time left get the fast ones, those with much leave them to others.
 
+use super::kind::is_of_service;
 use super::run_time::RunTime;
 use crate::scheduler::Scheduler;
 use crate::scheduler::active_job::ActiveJob;
 use crate::scheduler::agent::Agent;
+use crate::{Job, JobClass};
 use std::time::Duration;
 
 /// Kinds whose run times differ by less than this factor count as equally fast.
@@ -71,10 +73,15 @@
         }
     }
 
-    /// The ratio of a route on the fastest kind of upstream.
-    pub(in crate::scheduler) fn fastest_ratio(&self, route: &str) -> Option<f64> {
-        let kinds = self.kind_sizes.keys().filter(|_| self.mechanisms.uneven);
-        let ratios = kinds.map(|kind| self.run_times.of(route, kind).mean);
+    /// The ratio of a route on the fastest kind of upstream; `None` for a job that needs a label,
+    /// which the fastest may not have.
+    pub(in crate::scheduler) fn fastest_ratio(&self, job: &Job, class: &JobClass) -> Option<f64> {
+        if !self.mechanisms.uneven || job.stages.iter().any(|stage| stage.label.is_some()) {
+            return None;
+        }
+        let kinds = self.kind_sizes.keys();
+        let kinds = kinds.filter(|kind| is_of_service(kind, &class.service));
+        let ratios = kinds.map(|kind| self.run_times.of(&class.route, kind).mean);
         ratios.min_by(f64::total_cmp)
     }
 
--- a/crates/cassiarock-transient/tests/scheduler/uneven.rs
+++ b/crates/cassiarock-transient/tests/scheduler/uneven.rs
@@ -218,3 +218,20 @@
     let place = &harness.placed[0].agent;
     assert!((0..3).any(|slow| *place == agent(slow)), "{place}");
 }
+
+#[test]
+fn a_task_that_needs_a_label_does_not_wait_for_upstreams_without_it() {
+    let mut harness = uneven();
+    learn(&mut harness);
+    fill(&mut harness, 0..6);
+    let mut labelled = job(100, 1, 500);
+    labelled.stages[0].label = Some("a".into());
+    harness.submit_job(100, labelled, 9_000);
+    harness.advance_full(250);
+    harness.heartbeat_of(&agent(0), CAPACITY);
+    harness.poll();
+    assert_eq!(
+        harness.placed.first().map(|task| &task.agent),
+        Some(&agent(0))
+    );
+}
