--- a/crates/cassiarock-transient/src/scheduler/active_job.rs
+++ b/crates/cassiarock-transient/src/scheduler/active_job.rs
@@ -128,7 +128,13 @@
     pub(super) caller_deadline: Duration,
     /// The duration of the longest chain of stages, corrected by the run times of the route.
     pub(super) critical_path: Duration,
-    /// The expected run time of a task of each stage.
+    /// How long tasks run on the fastest kind of upstream, relative to the expected run time.
+    pub(super) fastest: f64,
+    /// Whether tasks may wait for the fastest kind.
+    pub(super) may_wait_for_fastest: bool,
+    /// The ratio of run times to the caller's estimates on upstreams of the mean speed.
+    pub(super) ratio: f64,
+    /// The expected run time of a task of each stage on upstreams of the mean speed.
     pub(super) expected: Vec<Duration>,
     /// Whether the caller had waited before it submitted the job, so that the answer will be late.
     pub(super) has_waited: bool,
@@ -166,6 +172,9 @@
             useful_until: now + (objective * MAX_LATENESS).min(patience),
             caller_deadline: now + patience,
             critical_path,
+            ratio,
+            fastest: 1.0,
+            may_wait_for_fastest: false,
             expected: job
                 .stages
                 .iter()
@@ -188,10 +197,20 @@
         Self { has_waited, ..self }
     }
 
-    /// The latest start with which the job is expected to be on time.
+    /// Sets the ratio of run times to the caller's estimates on the fastest kind of upstream.
+    pub(super) fn with_fastest_ratio(self, fastest: Option<f64>) -> Self {
+        Self {
+            may_wait_for_fastest: fastest.is_some(),
+            fastest: fastest.map_or(1.0, |fastest| (fastest / self.ratio).min(1.0)),
+            ..self
+        }
+    }
+
+    /// The latest start with which the job is expected to be on time, on the fastest kind of
+    /// upstream.
     pub(super) fn latest_start(&self) -> Duration {
         self.on_time_until
-            .saturating_sub(self.critical_path.mul_f64(SAFETY_FACTOR))
+            .saturating_sub(self.critical_path.mul_f64(SAFETY_FACTOR * self.fastest))
     }
 
     /// The rank in the queue.
--- a/crates/cassiarock-transient/src/scheduler/fault/leaving.rs
+++ b/crates/cassiarock-transient/src/scheduler/fault/leaving.rs
@@ -121,14 +121,15 @@
         let Phase::Placed(_, since) = task.phase else {
             return None;
         };
-        let pace = self.pace_of(self.agents.get(process)?, now);
+        let agent = self.agents.get(process)?;
+        let here = self.expected_on(active, stage, agent);
         let expected = active.expected[stage];
         let then = active.time_after(stage);
         Some(Outlook {
             now,
             since,
             ends_at: notice.ends_at,
-            expected_here: expected.mul_f64(pace),
+            expected_here: here.mul_f64(self.pace_of(agent, now)),
             expected_elsewhere: expected,
             on_time_until: active.on_time_until.saturating_sub(then),
             useful_until: active.useful_until.saturating_sub(then),
--- a/crates/cassiarock-transient/src/scheduler/fault/mod.rs
+++ b/crates/cassiarock-transient/src/scheduler/fault/mod.rs
@@ -6,3 +6,4 @@
 mod lost;
 mod outlook;
 mod overdue;
+pub(super) mod pace;
--- a/crates/cassiarock-transient/src/scheduler/mechanisms.rs
+++ b/crates/cassiarock-transient/src/scheduler/mechanisms.rs
@@ -31,6 +31,10 @@
     pub avoidance: bool,
     /// Prefers to place tasks of one job together.
     pub together: bool,
+    /// Learns run times by the kind of upstream.
+    pub kinds: bool,
+    /// Leaves fast upstreams to callers with little time left.
+    pub uneven: bool,
     /// Gives up tasks that crash upstreams, and keeps suspected ones apart.
     pub suspicion: bool,
     /// Counts the room of agents that are still being linked after a start.
@@ -40,7 +44,7 @@
 /// The name of a mechanism and an accessor of its field.
 type Field = (&'static str, fn(&mut Mechanisms) -> &mut bool);
 
-const FIELDS: [Field; 16] = [
+const FIELDS: [Field; 18] = [
     ("admission", |mechanisms| &mut mechanisms.admission),
     ("expiry", |mechanisms| &mut mechanisms.expiry),
     ("whole_starts", |mechanisms| &mut mechanisms.whole_starts),
@@ -55,6 +59,8 @@
     ("warming", |mechanisms| &mut mechanisms.warming),
     ("avoidance", |mechanisms| &mut mechanisms.avoidance),
     ("together", |mechanisms| &mut mechanisms.together),
+    ("kinds", |mechanisms| &mut mechanisms.kinds),
+    ("uneven", |mechanisms| &mut mechanisms.uneven),
     ("suspicion", |mechanisms| &mut mechanisms.suspicion),
     ("expectation", |mechanisms| &mut mechanisms.expectation),
 ];
@@ -76,6 +82,8 @@
             warming: true,
             avoidance: true,
             together: true,
+            kinds: true,
+            uneven: true,
             suspicion: true,
             expectation: true,
         }
--- a/crates/cassiarock-transient/src/scheduler/placement/choose.rs
+++ b/crates/cassiarock-transient/src/scheduler/placement/choose.rs
@@ -36,6 +36,7 @@
         let job_stage = &active.job.stages[stage];
         let task = &active.tasks[stage][index];
         let is_suspect = !task.crashes.is_empty();
+        let after = active.time_after(stage);
         let agents = self.agents.iter();
         // Room is checked first: under load most agents have none, and all agents are checked for
         // each task.
@@ -47,9 +48,19 @@
         });
         let costs = candidates.filter_map(|(process, agent)| {
             let pace = self.pace_of(agent, now);
+            let expected = self.expected_on(active, stage, agent).mul_f64(pace);
             if self.is_too_slow(active, stage, agent, now) {
                 return None;
             }
+            let prospect = self.prospect(active, stage, agent, now + expected, now, after);
+            if active.may_wait_for_fastest && prospect.is_too_slow() {
+                return None;
+            }
+            let ratio = if self.mechanisms.uneven {
+                prospect.weighed_ratio(self.fast_use)
+            } else {
+                prospect.ratio
+            };
             let is_avoided = self.mechanisms.avoidance && task.avoided.contains(process);
             let bonus = if self.mechanisms.together && starts.contains_key(process) {
                 SAME_JOB_BONUS
@@ -66,7 +77,7 @@
             } else {
                 (is_avoided, has_suspect, 0)
             };
-            let cost = cost(job_stage, agent, pace, random) - bonus;
+            let cost = cost(job_stage, agent, pace * ratio, random) - bonus;
             Some((preference, cost, process))
         });
         let best = costs.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
@@ -81,8 +92,8 @@
         agent: &Agent,
         now: Duration,
     ) -> bool {
-        let pace = agent.pace(self.median_pace);
-        let expected = active.expected[stage].mul_f64(pace);
+        let pace = agent.pace();
+        let expected = self.expected_on(active, stage, agent).mul_f64(pace);
         self.mechanisms.moving
             && pace > SLOW_PACE
             && now + expected > active.on_time_until
--- a/crates/cassiarock-transient/src/scheduler/placement/place.rs
+++ b/crates/cassiarock-transient/src/scheduler/placement/place.rs
@@ -135,6 +135,8 @@
             let expected = active.expected[stage];
             self.placement_rate
                 .add(core_millis(demand.cpu, expected), now);
+            let agent = self.agents.get(&process);
+            let expected = agent.map_or(expected, |agent| self.expected_on(active, stage, agent));
             let task = &mut active.tasks[stage][index];
             task.phase = Phase::Placed(process.clone(), now);
             starts.entry(process).or_default().push(Start {
@@ -185,7 +187,14 @@
                     let age = now.saturating_sub(agent.last_heard);
                     (agent.free().cpu, age.as_millis())
                 });
-                format!("{process}:{}/free={free}/age_ms={age}", tasks.len())
+                let (kind, is_far) = agent.map_or(("", false), |agent| {
+                    let stages = tasks.iter().filter_map(|task| active.job.stages.get(task.stage as usize));
+                    let mut racks = stages.filter_map(|stage| stage.rack.as_ref());
+                    (&*agent.kind, racks.any(|rack| !agent.has_label(rack)))
+                });
+                let runs = tasks.iter().map(|task| task.expected.as_millis()).max();
+                let runs = runs.unwrap_or_default();
+                format!("{process}:{}/free={free}/age_ms={age}/kind={kind:?}/runs_ms={runs}/far={is_far}", tasks.len())
             })
             .collect();
         job_decision("placed", active, now)
--- a/crates/cassiarock-transient/src/scheduler/placement/tenure.rs
+++ b/crates/cassiarock-transient/src/scheduler/placement/tenure.rs
@@ -104,10 +104,10 @@
 }
 
 impl Scheduler {
-    /// How long tasks run on the agent's upstream relative to the median one. Of a cold one that has
+    /// How long tasks run on the agent's upstream relative to the median of its kind. Of a cold one that has
     /// shown nothing yet, it is what others were while cold.
     pub(in crate::scheduler) fn pace_of(&self, agent: &Agent, now: Duration) -> f64 {
-        let pace = agent.pace(self.median_pace);
+        let pace = agent.pace();
         let is_unknown = agent.load.slowdown_percent == UNKNOWN_SLOWDOWN;
         match self.cold_pace.0 {
             Some(cold_pace) if is_unknown && self.is_cold(agent, now) => cold_pace.max(pace),
@@ -139,7 +139,8 @@
         } else {
             active.useful_until
         };
-        if now + expected.mul_f64(self.pace_of(agent, now)) > limit {
+        let there = self.expected_on(active, stage, agent);
+        if now + there.mul_f64(self.pace_of(agent, now)) > limit {
             return false;
         }
         let capacity = agent.capacity().cpu;
--- a/crates/cassiarock-transient/tests/scheduler/main.rs
+++ b/crates/cassiarock-transient/tests/scheduler/main.rs
@@ -15,3 +15,4 @@
 mod reserve;
 mod shutdown;
 mod starting;
+mod uneven;
