--- a/crates/cassiarock-transient/tests/scheduler/reserve.rs
+++ b/crates/cassiarock-transient/tests/scheduler/reserve.rs
@@ -76,7 +76,10 @@
 #[test]
 fn a_refusal_for_the_sake_of_a_waiting_urgent_job_names_that_cause() {
     let mut harness = Harness::new(8);
-    run_urgent_job(&mut harness, 1);
+    harness.submit_priority(1, 1, 0);
+    let task = harness.placed[0].clone();
+    harness.advance(400);
+    harness.end(task.attempt, Outcome::Done);
     flood(&mut harness, 1_001);
     harness.advance(100);
     let mut urgent = job(2, 1, 400);
