--- a/crates/cassiarock-test-support/src/leased/fault.rs
+++ b/crates/cassiarock-test-support/src/leased/fault.rs
@@ -13,6 +13,10 @@
     pub is_mute: bool,
     /// It says that it is leaving.
     pub is_leaving: bool,
+    /// The time left until its end that a leaving upstream reports.
+    pub notice: Option<Duration>,
+    /// For how long it reports to be slow.
+    pub cold: Duration,
     /// So many of the next starts are left unanswered and carried out `late` later.
     pub unanswered: u32,
     /// How much later.
--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -127,6 +127,8 @@
 /// Injects faults, overlapping, and takes them all back. Says what it did.
 async fn disturb(seed: u64, site: &mut Site) -> Vec<String> {
     let mut rng = StdRng::seed_from_u64(seed);
+    // Drawn apart, so that the other faults of a seed stay as they are.
+    let mut notices = StdRng::seed_from_u64(!seed);
     let mut said = Vec::new();
     let end = tokio::time::Instant::now() + FAULTS;
     while tokio::time::Instant::now() < end {
@@ -138,6 +140,9 @@
             said.push(format!("{kind} entry {entry} agent {agent}"));
             strike(kind, entry, agent, site, &mut rng);
         }
+        if !FOUND.contains(&seed) {
+            said.extend(give_notice(site, &mut notices));
+        }
         let pause = Duration::from_millis(rng.random_range(50..900));
         tokio::time::sleep(pause).await;
     }
@@ -145,6 +150,20 @@
     said
 }
 
+/// Lets an upstream announce its end or withdraw that, or report that it is cold.
+fn give_notice(site: &mut Site, rng: &mut StdRng) -> Option<String> {
+    let agent = rng.random_range(0..site.agents.len());
+    let notice = Duration::from_millis(rng.random_range(0..1_500));
+    let is_notice = rng.random_range(0..3) == 0;
+    let upstream = site.agents[agent].upstream.as_ref()?;
+    upstream.with_fault(|fault| {
+        fault.is_leaving = is_notice && !fault.is_leaving;
+        fault.notice = fault.is_leaving.then_some(notice);
+        fault.cold = if is_notice { Duration::ZERO } else { notice };
+    });
+    Some(format!("notice {is_notice} of {notice:?} at agent {agent}"))
+}
+
 fn strike(kind: u32, entry: usize, agent: usize, site: &mut Site, rng: &mut StdRng) {
     let directions = [Direction::Up, Direction::Down, Direction::Both];
     let direction = directions[rng.random_range(0..3)];
