Let the stand-in of an upstream refuse calls that name another

The platform's upstreams refuse such calls with 421, and the agent sends the header. Ruled out: the agent sends the order to the new one (the target is taken with the order). The check of the soak is unchanged.

--- a/crates/cassiarock-test-support/src/leased/route.rs
+++ b/crates/cassiarock-test-support/src/leased/route.rs
@@ -16,6 +16,9 @@
 
 type Shared = Arc<Mutex<Tasks>>;
 
+/// The header with the id of the upstream that a call is meant for. Any other refuses it.
+const EXPECTED_INSTANCE: &str = "expected-instance";
+
 /// How long a task runs whose text does not say.
 const LASTS: Duration = Duration::from_millis(50);
 
@@ -71,6 +74,10 @@
     if lock(&tasks).fault.is_mute {
         return std::future::pending().await;
     }
+    let expected = request.headers().get(EXPECTED_INSTANCE);
+    if expected.is_some_and(|expected| *expected != *lock(&tasks).name()) {
+        return StatusCode::MISDIRECTED_REQUEST.into_response();
+    }
     next.run(request).await
 }
 
--- a/crates/cassiarock-test-support/src/leased/state.rs
+++ b/crates/cassiarock-test-support/src/leased/state.rs
@@ -87,6 +87,11 @@
         }
     }
 
+    /// The id of the upstream.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
     /// All its room now, in thousandths of a core.
     pub fn cpu(&self) -> u64 {
         CPU.saturating_sub(self.fault.shrunk)
