--- a/crates/cassiarock-transient/src/host/incarnations.rs
+++ b/crates/cassiarock-transient/src/host/incarnations.rs
@@ -166,7 +166,6 @@
             ..known.clone()
         };
         self.begin_incarnation(worker, "it started again under its id", now, actions);
-        actions.push(Action::Poll);
         false
     }
 
