--- a/crates/cassiarock-transient/src/host/entries.rs
+++ b/crates/cassiarock-transient/src/host/entries.rs
@@ -18,7 +18,7 @@
     /// results and the load.
     pub fn link(&mut self, entry: &Process, now: Duration) -> Vec<Action> {
         let state = self.entries.entry(entry.clone()).or_default();
-        state.link();
+        state.link(now);
         let mut held: Vec<Attempt> = self.runs.attempts_of(entry).collect();
         held.extend(state.retained.iter().map(|(_, result)| result.attempt));
         let retained: Vec<AttemptResult> =
@@ -166,7 +166,7 @@
         }
     }
 
-    pub(super) fn heartbeat_for(&self, entry: &Process, now: Duration) -> Action {
+    pub(super) fn heartbeat_for(&mut self, entry: &Process, now: Duration) -> Action {
         let message = Message::AgentHeartbeat {
             clock: millis(now),
             load: self.load(entry, now),
--- a/crates/cassiarock-transient/src/host/entry_state.rs
+++ b/crates/cassiarock-transient/src/host/entry_state.rs
@@ -1,8 +1,9 @@
 //! The agent's view of an entry that places tasks on it.
 
 use super::offer::PendingRequest;
+use super::shares::Share;
 use crate::message::AttemptResult;
-use crate::timing::CONTACT_TIMEOUT;
+use crate::timing::{CONTACT_TIMEOUT, QUIET_TIMEOUT};
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -16,6 +17,10 @@
     pub(super) echo: Duration,
     /// The capacity that it requests.
     pub(super) request: Option<PendingRequest>,
+    /// When it was last linked.
+    linked_at: Duration,
+    /// Its part of the free room.
+    pub(super) share: Share,
     /// The serial number of its last orders.
     pub(super) serial: u64,
     /// When it was last sent the load of the upstream.
@@ -26,8 +31,10 @@
 
 impl EntryState {
     /// Marks the entry as linked. Serial numbers of orders start again on a new link.
-    pub(super) const fn link(&mut self) {
+    pub(super) const fn link(&mut self, now: Duration) {
         self.is_linked = true;
+        self.linked_at = now;
+        self.share.withdraw();
         self.is_retired = false;
         self.serial = 0;
     }
@@ -56,6 +63,11 @@
         }
     }
 
+    /// Whether it has echoed no recent clock of this agent, so that it places nothing here.
+    pub(super) fn is_silent(&self, now: Duration) -> bool {
+        now.saturating_sub(self.echo.max(self.linked_at)) >= QUIET_TIMEOUT
+    }
+
     pub(super) fn is_idle(&self, now: Duration) -> bool {
         self.retained.is_empty() && now.saturating_sub(self.echo) >= CONTACT_TIMEOUT
     }
--- a/crates/cassiarock-transient/src/host/mod.rs
+++ b/crates/cassiarock-transient/src/host/mod.rs
@@ -9,6 +9,7 @@
 mod offer;
 mod orders;
 mod run;
+mod shares;
 mod snapshots;
 mod upstream;
 mod worker;
@@ -26,6 +27,7 @@
 use lease::Lease;
 use offer::Offer;
 use run::Runs;
+use shares::TaskSize;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -82,6 +84,8 @@
     is_evacuated: bool,
     /// Free capacity that is held for an entry.
     offer: Option<Offer>,
+    /// The mean size of the tasks that were ordered recently.
+    task_size: TaskSize,
 }
 
 impl Host {
--- a/crates/cassiarock-transient/src/host/offer.rs
+++ b/crates/cassiarock-transient/src/host/offer.rs
@@ -147,12 +147,13 @@
         if !self.is_open(now) {
             return None;
         }
-        let free = self.free();
         let entries = self.entries.iter();
         let entries = entries.filter(|(_, state)| state.is_linked && !state.is_retired);
         let requests = entries.filter_map(|(entry, state)| Some((entry, state.request.as_ref()?)));
-        let fit = requests.filter(|(_, pending)| pending.fits(&free, now));
-        let (entry, pending) = fit.min_by_key(|(_, pending)| pending.rank())?;
+        let requests =
+            requests.map(|(entry, pending)| (entry, pending, self.offerable_to(entry, now)));
+        let fit = requests.filter(|(_, pending, free)| pending.fits(free, now));
+        let (entry, pending, free) = fit.min_by_key(|(_, pending, _)| pending.rank())?;
         let (to, room) = (entry.clone(), pending.room(&free));
         let decision = Decision::new("offered", "", "")
             .with("to", &to)
@@ -169,6 +170,7 @@
             until: now + HOLD_TIME,
             room,
         });
+        self.withdraw_shares(&to, &room, now, actions);
         Some(to)
     }
 }
--- a/crates/cassiarock-transient/src/host/orders.rs
+++ b/crates/cassiarock-transient/src/host/orders.rs
@@ -55,6 +55,10 @@
     ) -> Vec<AttemptResult> {
         let mut rejected = Vec::new();
         for start in &order.tasks {
+            self.task_size.observe(&start.demand);
+            if let Some(state) = self.entries.get_mut(entry) {
+                state.share.record_order(now);
+            }
             let task = Task {
                 job: order.job.clone(),
                 attempt: start.of(order.number),
@@ -63,6 +67,9 @@
                 rejected.push(unstarted_result(task.attempt, outcome));
                 continue;
             }
+            if let Some(state) = self.entries.get_mut(entry) {
+                state.share.take(&start.demand);
+            }
             let run = Run::new(entry.clone(), order.request.clone(), start, now);
             self.runs.add(task.clone(), run);
             actions.push(Action::Start {
--- a/crates/cassiarock-transient/src/host/snapshots.rs
+++ b/crates/cassiarock-transient/src/host/snapshots.rs
@@ -241,7 +241,7 @@
     }
 
     pub(super) fn ended_message(
-        &self,
+        &mut self,
         entry: &Process,
         results: Vec<AttemptResult>,
         now: Duration,
--- a/crates/cassiarock-transient/src/host/upstream.rs
+++ b/crates/cassiarock-transient/src/host/upstream.rs
@@ -153,20 +153,22 @@
             && worker.is_some_and(|worker| worker.is_present() && !worker.is_leaving)
     }
 
-    pub(super) fn load(&self, entry: &Process, now: Duration) -> Load {
+    pub(super) fn load(&mut self, entry: &Process, now: Duration) -> Load {
         let is_open = self.is_open(now);
         let entries = self
             .entries
             .values()
             .filter(|state| state.is_linked)
             .count();
+        let free = if is_open {
+            self.free_for(entry, now)
+        } else {
+            Resources::default()
+        };
         Load {
             last_serial: self.entries.get(entry).map_or(0, |state| state.serial),
-            free: if is_open {
-                self.free_for(entry, now)
-            } else {
-                Resources::default()
-            },
+            free,
+            share: self.deal(entry, &free, now),
             failure_percent: self.health.failure_percent(now),
             slowdown_percent: self
                 .health
--- a/crates/cassiarock-transient/src/resources.rs
+++ b/crates/cassiarock-transient/src/resources.rs
@@ -39,6 +39,16 @@
         self.cpu <= free.cpu && self.memory <= free.memory && self.accelerators <= free.accelerators
     }
 
+    /// The lesser amount of each resource.
+    #[must_use]
+    pub fn min(&self, other: &Self) -> Self {
+        Self {
+            cpu: self.cpu.min(other.cpu),
+            memory: self.memory.min(other.memory),
+            accelerators: self.accelerators.min(other.accelerators),
+        }
+    }
+
     /// How many times `each` fits into this amount.
     #[must_use]
     pub fn count_of(&self, each: &Self) -> u64 {
--- a/crates/cassiarock-transient/src/scheduler/agent.rs
+++ b/crates/cassiarock-transient/src/scheduler/agent.rs
@@ -40,6 +40,8 @@
     pub(super) last_echo: Duration,
     /// The reported free room less the unacknowledged orders.
     free: Resources,
+    /// The part of it that the agent has dealt to this entry.
+    share: Resources,
 }
 
 impl Agent {
@@ -61,6 +63,7 @@
             is_offered: false,
             last_echo: Duration::ZERO,
             free: Resources::default(),
+            share: Resources::default(),
         }
     }
 
@@ -72,6 +75,7 @@
         self.unacknowledged.clear();
         self.load = Load::default();
         self.free = Resources::default();
+        self.share = Resources::default();
     }
 
     /// Takes over what the agent says about its upstream.
@@ -115,14 +119,21 @@
         {
             self.unacknowledged.pop_front();
         }
-        let pending = self.unacknowledged.iter();
-        self.free = pending.fold(load.free, |free, (_, demand)| free.saturating_sub(demand));
+        let less_pending = |room: Resources| {
+            let pending = self.unacknowledged.iter();
+            pending.fold(room, |room, (_, demand)| room.saturating_sub(demand))
+        };
+        (self.free, self.share) = (
+            less_pending(load.free),
+            less_pending(load.share.unwrap_or(load.free)),
+        );
     }
 
     /// Counts a task that goes into the next orders.
     pub(super) fn add_order(&mut self, demand: Resources) {
         self.unacknowledged.push_back((self.serial + 1, demand));
         self.free = self.free.saturating_sub(&demand);
+        self.share = self.share.saturating_sub(&demand);
         self.placed += 1;
     }
 
@@ -138,6 +149,21 @@
         &self.free
     }
 
+    /// The part of the free room that the agent has dealt to this entry.
+    pub(super) const fn share(&self) -> &Resources {
+        &self.share
+    }
+
+    /// How many tasks of this demand this entry may place there: those that fit its share, or, if
+    /// there is room for one such task of each linked entry, all that fit the free room.
+    pub(super) fn places_for(&self, demand: &Resources) -> u64 {
+        let free = self.free.count_of(demand);
+        if free >= u64::from(self.load.entries.max(1)) {
+            return free;
+        }
+        self.share.count_of(demand)
+    }
+
     /// Whether the agent accepts tasks, whatever room it has.
     pub(super) fn is_open(&self, now: Duration) -> bool {
         self.is_linked
--- a/crates/cassiarock-transient/src/scheduler/mechanisms.rs
+++ b/crates/cassiarock-transient/src/scheduler/mechanisms.rs
@@ -17,6 +17,8 @@
     pub reserve: bool,
     /// Asks agents for room that becomes free.
     pub asking: bool,
+    /// Places within the share of the free room that an agent has dealt to this entry.
+    pub shares: bool,
     /// Places jobs of callers who have waited before after others.
     pub waited_last: bool,
     /// Places nothing on upstreams whose tasks fail.
@@ -34,7 +36,7 @@
 /// The name of a mechanism and an accessor of its field.
 type Field = (&'static str, fn(&mut Mechanisms) -> &mut bool);
 
-const FIELDS: [Field; 13] = [
+const FIELDS: [Field; 14] = [
     ("admission", |mechanisms| &mut mechanisms.admission),
     ("expiry", |mechanisms| &mut mechanisms.expiry),
     ("whole_starts", |mechanisms| &mut mechanisms.whole_starts),
@@ -42,6 +44,7 @@
     ("priority", |mechanisms| &mut mechanisms.priority),
     ("reserve", |mechanisms| &mut mechanisms.reserve),
     ("asking", |mechanisms| &mut mechanisms.asking),
+    ("shares", |mechanisms| &mut mechanisms.shares),
     ("waited_last", |mechanisms| &mut mechanisms.waited_last),
     ("ejection", |mechanisms| &mut mechanisms.ejection),
     ("moving", |mechanisms| &mut mechanisms.moving),
@@ -60,6 +63,7 @@
             priority: true,
             reserve: true,
             asking: true,
+            shares: true,
             waited_last: true,
             ejection: true,
             moving: true,
--- a/crates/cassiarock-transient/src/scheduler/placement/choose.rs
+++ b/crates/cassiarock-transient/src/scheduler/placement/choose.rs
@@ -1,7 +1,7 @@
 //! The choice of an agent for a task.
 
 use super::cost::cost;
-use crate::Stage;
+use crate::{Resources, Stage};
 use crate::message::Start;
 use crate::scheduler::Scheduler;
 use crate::scheduler::active_job::ActiveJob;
@@ -40,7 +40,7 @@
         // Room is checked first: under load most agents have none, and all agents are checked for
         // each task.
         let candidates = agents.filter(|(process, agent)| {
-            job_stage.demand.fits_in(agent.free())
+            self.places_at(agent, &job_stage.demand) > 0
                 && is_eligible(active, job_stage, agent, now)
                 && is_below_max_per_upstream(active, stage, job_stage, process)
         });
@@ -77,6 +77,15 @@
         let best = costs.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
         best.map(|(_, _, process)| process.clone())
     }
+
+    /// How many tasks of this demand may be placed on the agent.
+    pub(in crate::scheduler) fn places_at(&self, agent: &Agent, demand: &Resources) -> u64 {
+        if self.mechanisms.shares {
+            agent.places_for(demand)
+        } else {
+            agent.free().count_of(demand)
+        }
+    }
 }
 
 /// Whether tasks of the stage may be placed on the agent, whatever room it has.
