--- a/crates/cassiarock-transient/src/host/offer.rs
+++ b/crates/cassiarock-transient/src/host/offer.rs
@@ -81,13 +81,17 @@
         request: Option<CapacityRequest>,
         now: Duration,
     ) {
+        let is_answer = self.is_offered(entry, now);
         if let Some(state) = self.entries.get_mut(entry) {
+            if is_answer && request.is_none() {
+                state.share.release();
+            }
             state.request = request.map(|request| PendingRequest {
                 request,
                 received_at: now,
             });
         }
-        if self.is_offered(entry, now) {
+        if is_answer {
             self.offer = None;
         }
     }
--- a/crates/cassiarock-transient/src/host/shares.rs
+++ b/crates/cassiarock-transient/src/host/shares.rs
@@ -35,6 +35,8 @@
     /// The room that it was told to use and has not ordered since.
     room: Resources,
     told_at: Duration,
+    /// Until when it is not withdrawn.
+    held_until: Duration,
     /// The number of ordered tasks, decayed up to `updated`.
     tasks: f64,
     updated: Duration,
@@ -46,6 +48,11 @@
         self.room = Resources::new(0, 0, 0);
     }
 
+    /// Lets the room be withdrawn at once: the entry has nothing to place.
+    pub(super) const fn release(&mut self) {
+        self.held_until = Duration::ZERO;
+    }
+
     /// Counts an ordered task.
     pub(super) fn record_order(&mut self, now: Duration) {
         self.tasks = self.tasks(now) + 1.0;
@@ -106,12 +113,13 @@
         let state = self.entries.get_mut(entry)?;
         state.share.room = share.unwrap_or_default();
         state.share.told_at = now;
+        state.share.held_until = now + MIN_HOLD_TIME;
         share.filter(|share| share != free)
     }
 
     fn share_of(&self, entry: &Process, free: &Resources, now: Duration) -> Option<Resources> {
         if self.is_offered(entry, now) {
-            return Some(free.saturating_sub(&self.told_to_others(entry, MIN_HOLD_TIME, now)));
+            return Some(free.saturating_sub(&self.held_for_others(entry, now)));
         }
         let linked = self.entries.values().filter(|state| state.is_linked);
         let tasks = linked.clone().map(|state| state.share.tasks(now));
@@ -120,7 +128,7 @@
             return None;
         }
         let state = self.entries.get(entry)?;
-        let pool = free.saturating_sub(&self.told_to_others(entry, SHARE_LIFETIME, now));
+        let pool = free.saturating_sub(&self.told_to_others(entry, now));
         // Less than a task's room is left together, or else no task fits any share.
         if state.is_silent(now) || (pool.cpu as f64) < self.task_size.cpu {
             return Some(Resources::default());
@@ -135,24 +143,28 @@
         Some(pool.min(&self.task_size.room_for(wanted)))
     }
 
-    /// The room that entries other than `entry` were told within the last `lifetime`.
-    pub(super) fn told_to_others(
-        &self,
-        entry: &Process,
-        lifetime: Duration,
-        now: Duration,
-    ) -> Resources {
+    /// The room that other entries were told.
+    fn told_to_others(&self, entry: &Process, now: Duration) -> Resources {
+        self.sum_of_others(entry, |share| now < share.told_at + SHARE_LIFETIME)
+    }
+
+    /// The room that other entries were told and that may not be withdrawn yet.
+    fn held_for_others(&self, entry: &Process, now: Duration) -> Resources {
+        self.sum_of_others(entry, |share| now < share.held_until)
+    }
+
+    fn sum_of_others(&self, entry: &Process, counts: impl Fn(&Share) -> bool) -> Resources {
         let others = self.entries.iter().filter(|(other, _)| *other != entry);
-        let told = others
-            .filter(|(_, state)| state.is_linked && now < state.share.told_at + lifetime)
+        let shares = others
+            .filter(|(_, state)| state.is_linked && counts(&state.share))
             .map(|(_, state)| state.share.room);
-        told.fold(Resources::default(), |sum, room| sum.saturating_add(&room))
+        shares.fold(Resources::default(), |sum, room| sum.saturating_add(&room))
     }
 
     /// The free room that may be offered to `entry`.
     pub(super) fn offerable_to(&self, entry: &Process, now: Duration) -> Resources {
-        let told = self.told_to_others(entry, MIN_HOLD_TIME, now);
-        self.free().saturating_sub(&told)
+        let held = self.held_for_others(entry, now);
+        self.free().saturating_sub(&held)
     }
 
     /// Withdraws shares of other entries, the oldest first, until `room` is free for `to`, and tells
@@ -172,7 +184,7 @@
             .collect();
         others.sort();
         for (told_at, entry) in others {
-            let told = self.told_to_others(to, SHARE_LIFETIME, now);
+            let told = self.told_to_others(to, now);
             if room.fits_in(&self.free().saturating_sub(&told)) {
                 return;
             }
--- a/crates/cassiarock-transient/tests/extremes.rs
+++ b/crates/cassiarock-transient/tests/extremes.rs
@@ -82,11 +82,13 @@
         any::<u16>(),
         any::<u16>(),
         any::<bool>(),
+        proptest::option::of(resources()),
     )
         .prop_map(
-            |(last_serial, free, failure_percent, slowdown_percent, entries, is_offered)| Load {
+            |(last_serial, free, failure_percent, slowdown_percent, entries, is_offered, share)| Load {
                 last_serial,
                 free,
+                share,
                 failure_percent,
                 slowdown_percent,
                 entries,
--- a/crates/cassiarock-transient/tests/host/main.rs
+++ b/crates/cassiarock-transient/tests/host/main.rs
@@ -8,4 +8,5 @@
 mod polls;
 mod restarts;
 mod room;
+mod shares;
 mod shrink;
--- a/crates/cassiarock-transient/tests/scheduler/harness.rs
+++ b/crates/cassiarock-transient/tests/scheduler/harness.rs
@@ -119,10 +119,9 @@
         Load {
             last_serial: self.serials.get(agent).copied().unwrap_or_default(),
             free: here.fold(room, |free, _| free.saturating_sub(&TASK_DEMAND)),
-            failure_percent: 0,
             slowdown_percent: 100,
             entries: 1,
-            is_offered: false,
+            ..Load::default()
         }
     }
 
--- a/crates/cassiarock-transient/tests/scheduler/main.rs
+++ b/crates/cassiarock-transient/tests/scheduler/main.rs
@@ -11,4 +11,5 @@
 mod losses;
 mod order;
 mod reserve;
+mod shares;
 mod shutdown;
