--- a/crates/cassiarock-transient/src/host/entries.rs
+++ b/crates/cassiarock-transient/src/host/entries.rs
@@ -166,7 +166,7 @@
         }
     }
 
-    pub(super) fn heartbeat_for(&self, entry: &Process, now: Duration) -> Action {
+    pub(super) fn heartbeat_for(&mut self, entry: &Process, now: Duration) -> Action {
         let message = Message::AgentHeartbeat {
             clock: millis(now),
             load: self.load(entry, now),
--- a/crates/cassiarock-transient/src/host/entry_state.rs
+++ b/crates/cassiarock-transient/src/host/entry_state.rs
@@ -18,6 +18,7 @@
     pub(super) request: Option<PendingRequest>,
     /// The serial number of its last orders.
     pub(super) serial: u64,
+    pub(super) share: super::shares::Share,
     /// When it was last sent the load of the upstream.
     pub(super) last_load_sent: Duration,
     /// Results that it may not have received, each with the time until which it is kept.
@@ -30,6 +31,7 @@
         self.is_linked = true;
         self.is_retired = false;
         self.serial = 0;
+        self.share = super::shares::Share { told: crate::Resources { cpu: 0, memory: 0, accelerators: 0 }, ..self.share };
     }
 
     pub(super) fn record_echo(&mut self, echo: Duration) {
--- a/crates/cassiarock-transient/src/host/mod.rs
+++ b/crates/cassiarock-transient/src/host/mod.rs
@@ -9,6 +9,7 @@
 mod offer;
 mod orders;
 mod run;
+pub mod shares;
 mod snapshots;
 mod upstream;
 mod worker;
@@ -82,6 +83,7 @@
     is_evacuated: bool,
     /// Free capacity that is held for an entry.
     offer: Option<Offer>,
+    mean_demand: crate::Resources,
 }
 
 impl Host {
--- a/crates/cassiarock-transient/src/host/offer.rs
+++ b/crates/cassiarock-transient/src/host/offer.rs
@@ -151,9 +151,11 @@
         let entries = self.entries.iter();
         let entries = entries.filter(|(_, state)| state.is_linked && !state.is_retired);
         let requests = entries.filter_map(|(entry, state)| Some((entry, state.request.as_ref()?)));
-        let fit = requests.filter(|(_, pending)| pending.fits(&free, now));
+        let own = super::shares::knob("OFFER", 1.0) > 0.0;
+        let free_for = |entry: &Process| if own { free.saturating_sub(&self.told_within(entry, super::shares::knob("STEAL_MS", 3.0), now)) } else { free };
+        let fit = requests.filter(|(entry, pending)| pending.fits(&free_for(entry), now));
         let (entry, pending) = fit.min_by_key(|(_, pending)| pending.rank())?;
-        let (to, room) = (entry.clone(), pending.room(&free));
+        let (to, room) = (entry.clone(), pending.room(&free_for(entry)));
         let decision = Decision::new("offered", "", "")
             .with("to", &to)
             .with("urgency", pending.request.urgency)
--- a/crates/cassiarock-transient/src/host/orders.rs
+++ b/crates/cassiarock-transient/src/host/orders.rs
@@ -55,6 +55,10 @@
     ) -> Vec<AttemptResult> {
         let mut rejected = Vec::new();
         for start in &order.tasks {
+            self.record_demand(&start.demand);
+            if let Some(state) = self.entries.get_mut(entry) {
+                state.share.order(now);
+            }
             let task = Task {
                 job: order.job.clone(),
                 attempt: start.of(order.number),
@@ -63,6 +67,9 @@
                 rejected.push(unstarted_result(task.attempt, outcome));
                 continue;
             }
+            if let Some(state) = self.entries.get_mut(entry) {
+                state.share.take(&start.demand);
+            }
             let run = Run::new(entry.clone(), order.request.clone(), start, now);
             self.runs.add(task.clone(), run);
             actions.push(Action::Start {
@@ -117,7 +124,11 @@
         if suspect.is_some_and(|suspect| self.runs.has_suspect(suspect)) {
             return Some(Outcome::Refused);
         }
-        (!start.demand.fits_in(&self.free_for(entry, now))).then_some(Outcome::Full)
+        let mut free = self.free_for(entry, now);
+        if super::shares::knob("HARD", 0.0) > 0.0 {
+            free = free.saturating_sub(&self.told_to_others(entry, now));
+        }
+        (!start.demand.fits_in(&free)).then_some(Outcome::Full)
     }
 
     /// Stops attempts that an entry no longer needs.
--- a/crates/cassiarock-transient/src/host/snapshots.rs
+++ b/crates/cassiarock-transient/src/host/snapshots.rs
@@ -232,7 +232,7 @@
             match self.hold(now, actions) {
                 Some(other) if other != *entry => self.send_heartbeat(&other, now, actions),
                 Some(_) => {}
-                None if !self.has_offer() => self.notify_another_entry(entry, now, actions),
+                None if !self.has_offer() && super::shares::knob("NOTIFY", 1.0) > 0.0 => self.notify_another_entry(entry, now, actions),
                 None => {}
             }
         }
@@ -241,7 +241,7 @@
     }
 
     pub(super) fn ended_message(
-        &self,
+        &mut self,
         entry: &Process,
         results: Vec<AttemptResult>,
         now: Duration,
--- a/crates/cassiarock-transient/src/host/upstream.rs
+++ b/crates/cassiarock-transient/src/host/upstream.rs
@@ -153,7 +153,7 @@
             && worker.is_some_and(|worker| worker.is_present() && !worker.is_leaving)
     }
 
-    pub(super) fn load(&self, entry: &Process, now: Duration) -> Load {
+    pub(super) fn load(&mut self, entry: &Process, now: Duration) -> Load {
         let is_open = self.is_open(now);
         let entries = self
             .entries
@@ -173,6 +173,7 @@
                 .slowdown_percent()
                 .max(self.stalled_slowdown(now)),
             entries: u16::try_from(entries).unwrap_or(u16::MAX),
+            share: is_open.then(|| self.deal(entry, now)),
             is_offered: is_open && self.is_offered(entry, now),
         }
     }
--- a/crates/cassiarock-transient/src/message.rs
+++ b/crates/cassiarock-transient/src/message.rs
@@ -154,6 +154,9 @@
     pub last_serial: u64,
     /// Free capacity for new tasks; zero while the upstream accepts none.
     pub free: Resources,
+    /// The part of `free` that the receiving entry may count as its own; all of it if absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub share: Option<Resources>,
     /// The percentage of its latest tasks that failed.
     #[serde(rename = "failing")]
     pub failure_percent: u8,
--- a/crates/cassiarock-transient/src/scheduler/agent.rs
+++ b/crates/cassiarock-transient/src/scheduler/agent.rs
@@ -40,6 +40,7 @@
     pub(super) last_echo: Duration,
     /// The reported free room less the unacknowledged orders.
     free: Resources,
+    share: Resources,
 }
 
 impl Agent {
@@ -61,6 +62,7 @@
             is_offered: false,
             last_echo: Duration::ZERO,
             free: Resources::default(),
+            share: Resources::default(),
         }
     }
 
@@ -72,6 +74,7 @@
         self.unacknowledged.clear();
         self.load = Load::default();
         self.free = Resources::default();
+        self.share = Resources::default();
     }
 
     /// Takes over what the agent says about its upstream.
@@ -116,13 +119,15 @@
             self.unacknowledged.pop_front();
         }
         let pending = self.unacknowledged.iter();
-        self.free = pending.fold(load.free, |free, (_, demand)| free.saturating_sub(demand));
+        self.free = pending.clone().fold(load.free, |free, (_, demand)| free.saturating_sub(demand));
+        self.share = pending.fold(load.share.unwrap_or(load.free), |free, (_, demand)| free.saturating_sub(demand));
     }
 
     /// Counts a task that goes into the next orders.
     pub(super) fn add_order(&mut self, demand: Resources) {
         self.unacknowledged.push_back((self.serial + 1, demand));
         self.free = self.free.saturating_sub(&demand);
+        self.share = self.share.saturating_sub(&demand);
         self.placed += 1;
     }
 
@@ -138,6 +143,10 @@
         &self.free
     }
 
+    pub(super) const fn share(&self) -> &Resources {
+        &self.share
+    }
+
     /// Whether the agent accepts tasks, whatever room it has.
     pub(super) fn is_open(&self, now: Duration) -> bool {
         self.is_linked
--- a/crates/cassiarock-transient/src/scheduler/placement/choose.rs
+++ b/crates/cassiarock-transient/src/scheduler/placement/choose.rs
@@ -71,7 +71,13 @@
             } else {
                 (is_avoided, has_suspect, 0)
             };
-            let cost = cost(job_stage, agent, pace, random) - bonus;
+            let is_beyond = !job_stage.demand.fits_in(agent.share());
+            let beyond = crate::host::shares::trial_knob("BEYOND", 0.5);
+            if is_beyond && beyond > 9.0 {
+                return None;
+            }
+            let risk = if is_beyond { beyond } else { 0.0 };
+            let cost = cost(job_stage, agent, pace, random) - bonus + risk;
             Some((preference, cost, process))
         });
         let best = costs.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
