--- a/crates/cassiarock-transient/src/host/entries.rs
+++ b/crates/cassiarock-transient/src/host/entries.rs
@@ -20,6 +20,7 @@
         let state = self.entries.entry(entry.clone()).or_default();
         state.link();
         let mut held: Vec<Attempt> = self.runs.attempts_of(entry).collect();
+        held.extend(self.parked.iter().filter(|parked| parked.entry == *entry).map(|parked| parked.task.attempt));
         held.extend(state.retained.iter().map(|(_, result)| result.attempt));
         let retained: Vec<AttemptResult> =
             state.retained.iter().map(|(_, result)| *result).collect();
--- a/crates/cassiarock-transient/src/host/mod.rs
+++ b/crates/cassiarock-transient/src/host/mod.rs
@@ -10,6 +10,7 @@
 mod orders;
 mod run;
 pub mod shares;
+mod parked;
 mod snapshots;
 mod upstream;
 mod worker;
@@ -84,6 +85,7 @@
     /// Free capacity that is held for an entry.
     offer: Option<Offer>,
     mean_demand: crate::Resources,
+    parked: Vec<parked::Parked>,
 }
 
 impl Host {
@@ -132,6 +134,7 @@
         let runs = &self.runs;
         self.entries
             .retain(|entry, state| state.is_linked || !state.is_idle(now) || runs.has_entry(entry));
+        self.unpark(now, &mut actions);
         self.offer(now, &mut actions);
         self.send_due_heartbeats(now, &mut actions);
         actions
@@ -145,6 +148,7 @@
             .map(|state| state.last_load_sent + HEARTBEAT_INTERVAL)
             .min();
         let next = next.unwrap_or(now + HEARTBEAT_INTERVAL);
+        let next = self.parked.iter().map(|parked| parked.until).fold(next, Duration::min);
         self.offered_until().map_or(next, |until| next.min(until))
     }
 }
--- a/crates/cassiarock-transient/src/host/offer.rs
+++ b/crates/cassiarock-transient/src/host/offer.rs
@@ -105,6 +105,15 @@
 
     /// The capacity that `entry` may use: all that is free except what is held for another entry.
     pub(super) fn free_for(&self, entry: &Process, now: Duration) -> Resources {
+        match &self.offer {
+            Some(offer) if offer.is_open(now) && offer.to != *entry => {
+                self.free().saturating_sub(&offer.room)
+            }
+            _ => self.free(),
+        }.saturating_sub(&self.parked_demand())
+    }
+
+    pub(super) fn unheld(&self, entry: &Process, now: Duration) -> Resources {
         match &self.offer {
             Some(offer) if offer.is_open(now) && offer.to != *entry => {
                 self.free().saturating_sub(&offer.room)
@@ -147,7 +156,7 @@
         if !self.is_open(now) {
             return None;
         }
-        let free = self.free();
+        let free = self.free().saturating_sub(&self.parked_demand());
         let entries = self.entries.iter();
         let entries = entries.filter(|(_, state)| state.is_linked && !state.is_retired);
         let requests = entries.filter_map(|(entry, state)| Some((entry, state.request.as_ref()?)));
--- a/crates/cassiarock-transient/src/host/orders.rs
+++ b/crates/cassiarock-transient/src/host/orders.rs
@@ -64,6 +64,9 @@
                 attempt: start.of(order.number),
             };
             if let Some(outcome) = self.rejection(entry, &task, start, age, now, actions) {
+                if outcome == Outcome::Full && self.park(entry, order, start, now) {
+                    continue;
+                }
                 rejected.push(unstarted_result(task.attempt, outcome));
                 continue;
             }
@@ -95,7 +98,7 @@
     }
 
     /// The reason why `task` cannot be started now, if there is one.
-    fn rejection(
+    pub(super) fn rejection(
         &mut self,
         entry: &Process,
         task: &Task,
@@ -140,6 +143,7 @@
     ) -> Vec<Action> {
         let mut actions = Vec::new();
         for attempt in attempts {
+            self.parked.retain(|parked| parked.entry != *entry || parked.task.attempt != *attempt);
             if let Some(task) = self.runs.find(entry, attempt) {
                 self.stop(&task, "nobody waits", now, &mut actions);
             }
@@ -259,7 +263,7 @@
     }
 }
 
-const fn unstarted_result(attempt: Attempt, outcome: Outcome) -> AttemptResult {
+pub(super) const fn unstarted_result(attempt: Attempt, outcome: Outcome) -> AttemptResult {
     AttemptResult {
         attempt,
         outcome,
--- a/crates/cassiarock-transient/src/host/snapshots.rs
+++ b/crates/cassiarock-transient/src/host/snapshots.rs
@@ -183,6 +183,7 @@
         // unanswered starts and ordered stops don't.
         self.health
             .record(&task.job, outcome, ran, run.expected, now);
+        self.unpark(now, actions);
         if !matches!(outcome, Outcome::Done) {
             let decision = Decision::new("ended", run.request.clone(), task.job.clone())
                 .with("task", task)
