--- a/crates/cassiarock-transient/src/host/offer.rs
+++ b/crates/cassiarock-transient/src/host/offer.rs
@@ -180,6 +180,9 @@
             until: now + HOLD_TIME,
             room,
         });
+        if super::shares::knob("REVOKE", 1.0) > 0.0 {
+            self.revoke(&to, room, now, actions);
+        }
         Some(to)
     }
 }
--- a/crates/cassiarock-transient/src/host/shares.rs
+++ b/crates/cassiarock-transient/src/host/shares.rs
@@ -124,3 +124,22 @@
         if want > 0 { share } else { Resources::default() }
     }
 }
+
+impl Host {
+    pub(super) fn revoke(&mut self, to: &Process, room: Resources, now: Duration, actions: &mut Vec<super::Action>) {
+        let mut victims: Vec<(Duration, Process)> = self.entries.iter()
+            .filter(|(entry, state)| *entry != to && state.is_linked && state.share.told.cpu > 0)
+            .map(|(entry, state)| (state.share.told_at, entry.clone())).collect();
+        victims.sort();
+        for (_, victim) in victims {
+            let told = self.told_within(to, 150.0, now);
+            if room.fits_in(&self.free().saturating_sub(&told)) {
+                return;
+            }
+            if let Some(state) = self.entries.get_mut(&victim) {
+                state.share.told = Resources::default();
+            }
+            self.send_heartbeat(&victim, now, actions);
+        }
+    }
+}
