--- a/crates/cassiarock-lab/examples/trial.rs
+++ b/crates/cassiarock-lab/examples/trial.rs
@@ -10,8 +10,9 @@
         let k = r.seeds.len() as f64;
         let ta: f64 = r.seeds.iter().map(|s| s.turned_away).sum::<f64>() / k;
         let fr: f64 = r.seeds.iter().map(|s| s.frames_per_task).sum::<f64>() / k;
+        let be: f64 = r.seeds.iter().map(|s| s.heartbeats_per_task).sum::<f64>() / k;
         let kinds: Vec<String> = r.totals_by_kind().iter().map(|k| format!("{:.3}", k.in_time_share())).collect();
-        println!("{name:<16} worth {:.4} intime {:.4} unserved {:.4} thrown {:.3} full {ta:.3} frames {fr:.2} [{}] {}", r.worth, r.in_time, r.unserved, r.wasted_work, kinds.join(" "), if r.violations.is_empty() {""} else {"BROKEN"});
+        println!("{name:<16} worth {:.4} intime {:.4} unserved {:.4} thrown {:.3} full {ta:.3} frames {fr:.2} beats {be:.2} [{}] {}", r.worth, r.in_time, r.unserved, r.wasted_work, kinds.join(" "), if r.violations.is_empty() {""} else {"BROKEN"});
         w += r.worth; t += r.in_time; c += 1.0;
     }
     println!("mean worth {:.4} intime {:.4}", w / c, t / c);
--- a/crates/cassiarock-lab/src/result.rs
+++ b/crates/cassiarock-lab/src/result.rs
@@ -53,6 +53,9 @@
     /// Messages between entries and agents per task started, without heartbeats.
     #[serde(rename = "frames")]
     pub frames_per_task: f64,
+    /// Heartbeats between entries and agents per task started.
+    #[serde(rename = "heartbeats")]
+    pub heartbeats_per_task: f64,
     /// Share of the ordered tasks that agents rejected because their upstream was full.
     pub turned_away: f64,
     /// Jain's fairness index of the shares answered in time, over kinds.
@@ -188,7 +191,7 @@
             writeln!(
                 f,
                 "seed {}: worth {:.3}, not served {:.4}; in time {:.3} of at most {:.3}; work thrown away {:.3}; refusals after {:.0} ms \
-                 (99th percentile {:.0}); {:.2} frames a task; {:.3} of orders turned away; fair over kinds {:.3}, over entries {:.3}; \
+                 (99th percentile {:.0}); {:.2} frames a task and {:.2} heartbeats; {:.3} of orders turned away; fair over kinds {:.3}, over entries {:.3}; \
                  longest queue {}",
                 seed.seed,
                 seed.worth,
@@ -199,6 +202,7 @@
                 seed.refusal_ms.0,
                 seed.refusal_ms.1,
                 seed.frames_per_task,
+                seed.heartbeats_per_task,
                 seed.turned_away,
                 seed.kind_fairness,
                 seed.entry_fairness,
--- a/crates/cassiarock-lab/src/simulation/tally.rs
+++ b/crates/cassiarock-lab/src/simulation/tally.rs
@@ -29,6 +29,8 @@
     outcomes: HashMap<usize, (CallerOutcome, Duration)>,
     /// Messages between entries and agents, without heartbeats.
     frames: u64,
+    /// Heartbeats between entries and agents.
+    heartbeats: u64,
     /// Tasks ordered from agents.
     ordered: u64,
     /// Ordered tasks that agents rejected because their upstream was full.
@@ -61,7 +63,10 @@
     /// Counts a message between an entry and an agent.
     pub(super) fn record_message(&mut self, message: &Message) {
         match message {
-            Message::EntryHeartbeat { .. } | Message::AgentHeartbeat { .. } => return,
+            Message::EntryHeartbeat { .. } | Message::AgentHeartbeat { .. } => {
+                self.heartbeats += 1;
+                return;
+            }
             Message::Orders { orders, .. } => {
                 let tasks = orders.iter().map(|order| order.tasks.len() as u64);
                 self.ordered += tasks.sum::<u64>();
@@ -156,6 +161,7 @@
             refusal_ms: (quantile(0.5), quantile(0.99)),
             turned_away: share(self.turned_away, self.ordered.max(1)),
             frames_per_task: self.frames as f64 / self.started.max(1) as f64,
+            heartbeats_per_task: self.heartbeats as f64 / self.started.max(1) as f64,
             kind_fairness: jain(&shares),
             entry_fairness: jain(
                 &entries
--- a/crates/cassiarock-transient/src/scheduler/agent.rs
+++ b/crates/cassiarock-transient/src/scheduler/agent.rs
@@ -143,6 +143,16 @@
         &self.free
     }
 
+    /// How many tasks of this demand may be placed there.
+    pub(super) fn room_for(&self, demand: &Resources) -> u64 {
+        let free = self.free.count_of(demand);
+        let plenty = crate::host::shares::trial_knob("PLENTY", 1.0);
+        if plenty > 0.0 && free as f64 >= plenty * f64::from(self.load.entries) {
+            return free;
+        }
+        self.share.count_of(demand)
+    }
+
     pub(super) const fn share(&self) -> &Resources {
         &self.share
     }
--- a/crates/cassiarock-transient/src/scheduler/placement/ask.rs
+++ b/crates/cassiarock-transient/src/scheduler/placement/ask.rs
@@ -78,7 +78,7 @@
             return;
         };
         let number = next.active.number;
-        let is_recent = |(job, at)| job == number && now < at + ASK_INTERVAL;
+        let is_recent = |(job, at)| job == number && now < at + Duration::from_millis(crate::host::shares::trial_knob("ASKMS", 50.0) as u64);
         if self.last_ask.is_some_and(is_recent) {
             return;
         }
@@ -118,7 +118,9 @@
         if eligible.is_empty() {
             return Vec::new();
         }
-        let count = MAX_ASKED_AGENTS
+        let with_room: Vec<&Process> = eligible.iter().copied().filter(|process| self.agents.get(*process).is_some_and(|agent| next.ask.demand.fits_in(agent.free()))).collect();
+        let eligible = if with_room.is_empty() || crate::host::shares::trial_knob("ASKFREE", 1.0) == 0.0 { eligible } else { with_room };
+        let count = (crate::host::shares::trial_knob("ASKN", 8.0) as usize)
             .min(next.ask.tasks as usize)
             .min(eligible.len());
         let step = eligible.len() / count.max(1);
--- a/crates/cassiarock-transient/src/scheduler/placement/choose.rs
+++ b/crates/cassiarock-transient/src/scheduler/placement/choose.rs
@@ -71,7 +71,7 @@
             } else {
                 (is_avoided, has_suspect, 0)
             };
-            let is_beyond = !job_stage.demand.fits_in(agent.share());
+            let is_beyond = agent.room_for(&job_stage.demand) == 0;
             let beyond = crate::host::shares::trial_knob("BEYOND", 0.5);
             if is_beyond && beyond > 9.0 {
                 return None;
--- a/crates/cassiarock-transient/src/scheduler/placement/place.rs
+++ b/crates/cassiarock-transient/src/scheduler/placement/place.rs
@@ -100,7 +100,7 @@
             let eligible = agents.filter(|agent| is_eligible(active, stage, agent, now));
             let max = u64::from(stage.max_per_upstream.unwrap_or(u32::MAX));
             let room: u64 = eligible
-                .map(|agent| if crate::host::shares::trial_knob("BEYOND", 0.5) > 9.0 { agent.share() } else { agent.free() }.count_of(&stage.demand).min(max))
+                .map(|agent| if crate::host::shares::trial_knob("BEYOND", 0.5) > 9.0 { agent.room_for(&stage.demand) } else { agent.free().count_of(&stage.demand) }.min(max))
                 .sum();
             waiting.count() as u64 <= room
         })
