--- a/crates/cassiarock-transient/src/scheduler/placement/uneven.rs
+++ b/crates/cassiarock-transient/src/scheduler/placement/uneven.rs
@@ -12,6 +12,10 @@
 /// Kinds whose run times differ by less than this factor count as equally fast.
 const SAME_SPEED: f64 = 1.1;
 
+/// The share of the fast room from which on it is scarce. Below it each task finds room there, and
+/// on a slow upstream one in ten of those that are safely on time ends late.
+const SCARCE_USE: f64 = 0.8;
+
 /// The prospect of a task on an upstream of one kind.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Prospect {
@@ -38,12 +42,14 @@
             && self.fastest_end <= self.on_time_until
     }
 
-    /// The relative run time that counts in the choice of a place. The more of the fast upstreams'
-    /// room is taken, the less does their speed count for a job that is safely on time here; with
-    /// all of it taken it counts nothing, so that slow upstreams are never sought.
+    /// The relative run time that counts in the choice of a place. Once the fast upstreams' room is
+    /// scarce, the speed of a place counts the less, the less of that room is left, for a job that is
+    /// safely on time here; with all of it taken speed counts nothing, so that slow upstreams are
+    /// never sought.
     pub(super) fn weighed_ratio(&self, fast_use: f64) -> f64 {
         if self.safe_end <= self.on_time_until {
-            self.ratio.powf(1.0 - fast_use.clamp(0.0, 1.0))
+            let scarcity = (fast_use - SCARCE_USE) / (1.0 - SCARCE_USE);
+            self.ratio.powf(1.0 - scarcity.clamp(0.0, 1.0))
         } else {
             self.ratio
         }
