Write the usual room, sums and optional times once

The dispatcher had its own copy of UsualRoom and converted field by field both ways; admission's sum and the log's optional milliseconds stood twice. The record's names and the log's fields stay as they are. Formatter, linter of the workspace, and the tests of cassiarock-transient, -dispatch and -lab passed.

--- a/crates/cassiarock-dispatch/src/entry/calls.rs
+++ b/crates/cassiarock-dispatch/src/entry/calls.rs
@@ -1,9 +1,9 @@
 //! Handles the calls of callers.
 
 use super::Entry;
-use crate::learned::{Learned, Room, RoutePatience, RouteRunTimes, ServiceRoom};
+use crate::learned::{Learned, RoutePatience, RouteRunTimes, ServiceRoom};
 use cassiarock_adapter::callers::Call;
-use cassiarock_transient::scheduler::{Action, Answer, UsualRoom};
+use cassiarock_transient::scheduler::{Action, Answer};
 use std::time::Duration;
 use tokio::sync::oneshot;
 
@@ -101,26 +101,10 @@
 
     fn merge_room(&mut self, known: &ServiceRoom, now: Duration) -> ServiceRoom {
         for (service, room) in known {
-            let Room {
-                upstreams,
-                cpu,
-                entries,
-            } = *room;
-            let room = UsualRoom {
-                upstreams,
-                cpu,
-                entries,
-            };
-            self.scheduler.adopt_room(service, room);
+            self.scheduler.adopt_room(service, *room);
         }
-        let seen = self.scheduler.usual_room(now).map(|(service, seen)| {
-            let room = Room {
-                upstreams: seen.upstreams,
-                cpu: seen.cpu,
-                entries: seen.entries,
-            };
-            (service.clone(), room)
-        });
+        let seen = self.scheduler.usual_room(now);
+        let seen = seen.map(|(service, room)| (service.clone(), room));
         known.clone().into_iter().chain(seen).collect()
     }
 }
--- a/crates/cassiarock-dispatch/src/learned.rs
+++ b/crates/cassiarock-dispatch/src/learned.rs
@@ -8,9 +8,9 @@
 use cassiarock_adapter::store::{KeyedRecord, Partition, encode_keyed};
 use cassiarock_adapter::{Error, Store};
 use cassiarock_id::Name;
-use cassiarock_transient::scheduler::RunTime;
+use cassiarock_transient::scheduler::{RunTime, UsualRoom};
+use serde::Serialize;
 use serde::de::DeserializeOwned;
-use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::fmt::Debug;
 use std::time::Duration;
@@ -50,21 +50,11 @@
 pub(crate) type RoutePatience = BTreeMap<Name, u64>;
 
 /// The usual upstreams of each service.
-pub(crate) type ServiceRoom = BTreeMap<Name, Room>;
+pub(crate) type ServiceRoom = BTreeMap<Name, UsualRoom>;
 
 /// The run times of each route, relative to the callers' estimates, by kind of upstream.
 pub(crate) type RouteRunTimes = BTreeMap<Name, BTreeMap<Name, RunTime>>;
 
-/// The upstreams that an entry usually has for a service.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(default)]
-pub(crate) struct Room {
-    pub(crate) upstreams: u64,
-    /// Thousandths of a core.
-    pub(crate) cpu: u64,
-    pub(crate) entries: u64,
-}
-
 /// What is on record, or is to be.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub(crate) struct Learned {
@@ -162,7 +152,7 @@
     (*now as f64 / *before as f64 - 1.0).abs() > MIN_CHANGE
 }
 
-fn is_other_room(before: &Room, now: &Room) -> bool {
+fn is_other_room(before: &UsualRoom, now: &UsualRoom) -> bool {
     let (before, now) = (before.cpu as f64, now.cpu as f64);
     now > before * ROOM_FACTOR || before > now * ROOM_FACTOR
 }
--- a/crates/cassiarock-transient/src/decision.rs
+++ b/crates/cassiarock-transient/src/decision.rs
@@ -2,6 +2,7 @@
 
 use cassiarock_id::Name;
 use std::fmt;
+use std::time::Duration;
 
 /// One decision: what was decided, about which request, and the inputs that decided it.
 ///
@@ -43,6 +44,19 @@
         self
     }
 
+    /// Adds a time in milliseconds; the field is empty if there is none.
+    ///
+    /// ```
+    /// use cassiarock_transient::Decision;
+    /// let line = Decision::new("upstream", "", "").with_millis("ends_in_ms", None);
+    /// assert_eq!(line.fields[0], ("ends_in_ms", String::new()));
+    /// ```
+    #[must_use]
+    pub fn with_millis(self, name: &'static str, time: Option<Duration>) -> Self {
+        let millis = time.map(|time| time.as_millis().to_string());
+        self.with(name, millis.unwrap_or_default())
+    }
+
     /// Marks the decision as a failure.
     #[must_use]
     pub const fn failed(mut self) -> Self {
--- a/crates/cassiarock-transient/src/host/upstream.rs
+++ b/crates/cassiarock-transient/src/host/upstream.rs
@@ -114,8 +114,8 @@
                 .with("service", &upstream.service)
                 .with("cpu", upstream.capacity.cpu)
                 .with("leaving", upstream.is_leaving)
-                .with("ends_in_ms", in_millis(upstream.remaining))
-                .with("cold_for_ms", in_millis(upstream.cold_remaining));
+                .with_millis("ends_in_ms", upstream.remaining)
+                .with_millis("cold_for_ms", upstream.cold_remaining);
         }
         actions.push(Action::Log(decision));
         for (entry, state) in &self.entries {
@@ -202,8 +202,3 @@
         }
     }
 }
-
-/// A time for the log, in milliseconds.
-fn in_millis(left: Option<Duration>) -> String {
-    left.map_or_else(String::new, |left| left.as_millis().to_string())
-}
--- a/crates/cassiarock-transient/src/scheduler/queue/admit.rs
+++ b/crates/cassiarock-transient/src/scheduler/queue/admit.rs
@@ -159,7 +159,7 @@
 }
 
 /// The sum of amounts that callers or other processes name.
-fn sum(amounts: impl Iterator<Item = u64>) -> u64 {
+pub(super) fn sum(amounts: impl Iterator<Item = u64>) -> u64 {
     amounts.fold(0, u64::saturating_add)
 }
 
--- a/crates/cassiarock-transient/src/scheduler/queue/expectation.rs
+++ b/crates/cassiarock-transient/src/scheduler/queue/expectation.rs
@@ -4,8 +4,10 @@
 //! a few of their agents. Judged by the room of these alone, most of them would be refused, though
 //! room for them appears within some hundred milliseconds.
 
+use super::admit::sum;
 use crate::roster::LINKS_PER_AGENT;
 use cassiarock_id::{Name, Process};
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -44,7 +46,8 @@
 const MAX_AGENTS: usize = 4_096;
 
 /// The upstreams that an entry usually has for a service.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default)]
 pub struct UsualRoom {
     /// Their number.
     pub upstreams: u64,
@@ -285,8 +288,3 @@
         open + ((usual - open) as f64 * (1.0 - FALL)) as u64
     }
 }
-
-/// The sum of amounts that other processes name.
-fn sum(amounts: impl Iterator<Item = u64>) -> u64 {
-    amounts.fold(0, u64::saturating_add)
-}
