--- a/review/1/case.py
+++ b/review/1/case.py
@@ -6,7 +6,7 @@
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "stand_ins"))
-import site_of_review as review
+import deployment
 import web
 
 CALM_S = 3.0
@@ -31,7 +31,7 @@
     async def callers():
         jobs = []
         while True:
-            jobs.append(asyncio.create_task(site.submit(review.new_id(), site.job(4, 900))))
+            jobs.append(asyncio.create_task(site.submit(deployment.new_id(), site.job(4, 900))))
             await asyncio.sleep(PAUSE_S)
 
     load = asyncio.create_task(callers())
@@ -44,4 +44,4 @@
     return 1 if site.report_overlaps() else 0
 
 
-review.run(case, sheet=review.AUP_FORO, entries=3, minions=11)
+deployment.run(case, sheet=deployment.AUP_FORO, entries=3, minions=11)
