Prove a report of an unknown upstream by a poll before it replaces one

Cause: Host::classify took each report of another incarnation that was not known to be older for the next one, and ended all attempts as crashed, while the upstream ran on and answered polls. The service's name has no part in it: a report with the right service did the same.

Now such a report is held, and a poll that names its incarnation goes out at once over a connection of its own, beside the queue of orders, so that an upstream that hangs delays nothing. Only the process at the upstream's address can answer that poll, and the poll replaces the one by which a new upstream has always been shown to be empty, so that a real crash costs no more time than before.

Tests changed: the harness of the host now has somebody at the upstream's address who answers for itself. Tests of false reports say so; a_new_upstream_is_polled_at_once checks the room by the one poll as before; leftover tasks are listed by the first answer instead of the second.

--- a/crates/cassiarock-dispatch/src/agent.rs
+++ b/crates/cassiarock-dispatch/src/agent.rs
@@ -178,6 +178,12 @@
         })
     }
 
+    fn verify(&self, incarnation: Incarnation) {
+        let fence = self.host.fence();
+        let target = Target { incarnation, fence };
+        self.orders.verify(target, self.clock.now().up);
+    }
+
     fn target(&self) -> Option<Target> {
         let worker = self.host.worker()?;
         Some(Target {
@@ -300,6 +306,7 @@
                         self.orders.poll_now(poll);
                     }
                 }
+                Action::Verify(incarnation) => self.verify(incarnation),
                 Action::Log(decision) => log_decision(&decision),
             }
         }
--- a/crates/cassiarock-dispatch/src/orders.rs
+++ b/crates/cassiarock-dispatch/src/orders.rs
@@ -124,6 +124,28 @@
         });
     }
 
+    /// Polls an incarnation of the upstream that has reported, to see whether it is there. Waits for
+    /// no permit: calls to the previous incarnation may all hang. The poll renews and acknowledges
+    /// nothing.
+    pub(crate) fn verify(&self, target: Target, asked: Duration) {
+        let this = self.clone();
+        tokio::spawn(async move {
+            let answer = this.client.verify(&target, this.timeout(), asked).await;
+            let input = match answer {
+                Ok(snapshot) => Input::Snapshot(snapshot),
+                Err(CallError::OtherIncarnation) => Input::Replaced(target.incarnation),
+                Err(CallError::Fenced) => Input::Fenced(target.incarnation),
+                Err(CallError::Failed(error)) => {
+                    // The host repeats the poll.
+                    log::warn!(upstream:% = target.incarnation; "{error}");
+                    return;
+                }
+            };
+            // Fails only if the actor has ended.
+            let _ = this.inputs.send(input).await;
+        });
+    }
+
     /// Polls the upstream, one poll after the other, until the process ends.
     pub(crate) async fn run_polls(self) {
         let mut lost_since: Option<tokio::time::Instant> = None;
--- a/crates/cassiarock-lab/src/simulation/agents.rs
+++ b/crates/cassiarock-lab/src/simulation/agents.rs
@@ -56,7 +56,12 @@
 }
 
 impl Agent {
-    /// The current incarnation of its upstream.
+    /// The incarnation of its upstream that is there, which the agent may not know yet.
+    fn started_incarnation(&self, number: usize) -> Incarnation {
+        Incarnation::new(upstream_name(number)).with_started_at(Some(self.upstream_starts))
+    }
+
+    /// The incarnation of its upstream that the agent knows.
     fn upstream_incarnation(&self) -> Incarnation {
         self.host
             .worker()
@@ -120,7 +125,7 @@
         agent.is_upstream_leaving = false;
         let cold = agent.cold.0.checked_sub(self.now);
         let worker = Worker {
-            id: format!("u-{number}").into(),
+            id: upstream_name(number),
             started_at: Some(agent.upstream_starts),
             service: "s".into(),
             capacity: resources(agent.cores, agent.memory_mib),
@@ -224,7 +229,7 @@
         }
         // The lease is not modelled: runs end with the upstream or its agent.
         let _ = agent.host.renew_leases(self.now);
-        let upstream = agent.upstream_incarnation();
+        let upstream = agent.started_incarnation(number);
         let seen = agent.host.last_seen_end(self.now);
         let snapshot = agent.upstream.snapshot(upstream, seen, self.now);
         let actions = agent.host.handle_snapshot(&snapshot, self.now);
@@ -253,6 +258,11 @@
                     let event = Event::PollUpstream(number, incarnation, false);
                     self.event_queue.add(self.now + CALL_LATENCY, event);
                 }
+                // Whoever is there answers by its own name, also to a regular poll.
+                Action::Verify(_) => {
+                    let event = Event::PollUpstream(number, incarnation, false);
+                    self.event_queue.add(self.now + CALL_LATENCY, event);
+                }
                 Action::Log(_) => {}
             }
         }
@@ -420,3 +430,8 @@
         run.demand.cpu as f64 / 1000.0 * ran
     }
 }
+
+/// The id of the upstream of an agent.
+pub(super) fn upstream_name(number: usize) -> Name {
+    format!("u-{number}").into()
+}
--- a/crates/cassiarock-lab/src/simulation/replacing.rs
+++ b/crates/cassiarock-lab/src/simulation/replacing.rs
@@ -1,6 +1,7 @@
 //! Replacement of upstreams that announce their end.
 
 use super::Simulation;
+use super::agents::upstream_name;
 use crate::event::Event;
 use crate::scenario::Disturbance;
 use cassiarock_transient::host::Worker;
@@ -39,7 +40,7 @@
             self.record_run_end(&run);
         }
         let agent = &mut self.agents[number];
-        let id = format!("u-{number}");
+        let id = upstream_name(number);
         let actions = agent.host.deregister(&id, self.now);
         self.execute_agent_actions(number, actions);
     }
--- /dev/null
+++ b/crates/cassiarock-transient/src/host/candidate.rs
@@ -0,0 +1,175 @@
+//! Reports that are believed only once the upstream's own answer to a poll has proved them.
+//!
+//! Anyone may send a report, and the network may deliver it late. Who is at the upstream's address
+//! is shown by a poll that names the report's incarnation: no other one answers it.
+
+use super::run::Snapshot;
+use super::worker::Worker;
+use super::{Action, Host, poll_backoff};
+use crate::{Decision, Incarnation};
+use std::time::Duration;
+
+/// A report that awaits its proof.
+#[derive(Clone, Debug)]
+pub(super) struct Candidate {
+    worker: Worker,
+    /// When the report arrived.
+    since: Duration,
+    /// How many polls were sent for it.
+    polls: u32,
+    /// When the next poll is due.
+    next_poll: Duration,
+}
+
+/// What a poll's response says of a candidate.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Verdict {
+    Proven,
+    Refuted(&'static str),
+    Undecided,
+}
+
+impl Candidate {
+    const fn new(worker: Worker, now: Duration) -> Self {
+        Self {
+            worker,
+            since: now,
+            polls: 0,
+            next_poll: now,
+        }
+    }
+
+    /// Judges the candidate by a response, given the upstream's present incarnation.
+    fn judge(&self, snapshot: &Snapshot, present: &Incarnation) -> Verdict {
+        // A poll that was sent before the report arrived says nothing of it.
+        if snapshot.asked < self.since {
+            return Verdict::Undecided;
+        }
+        let own = self.worker.incarnation();
+        let is_own = if own.id == present.id {
+            own.started_at.is_some() && own.started_at == snapshot.incarnation.started_at
+        } else {
+            !own.differs_from(&snapshot.incarnation)
+        };
+        if is_own {
+            return Verdict::Proven;
+        }
+        if present.differs_from(&snapshot.incarnation) {
+            return Verdict::Undecided;
+        }
+        Verdict::Refuted("the present upstream answers")
+    }
+}
+
+impl Host {
+    /// Keeps a report until a poll has proved or refuted it.
+    pub(super) fn hold_report(&mut self, worker: Worker, now: Duration, actions: &mut Vec<Action>) {
+        let incarnation = worker.incarnation();
+        let held = self.candidate.as_mut();
+        match held.filter(|held| held.worker.incarnation() == incarnation) {
+            Some(held) => held.worker = worker,
+            None => {
+                let present = self.worker.as_ref().map(Worker::incarnation);
+                let decision = Decision::new("report held", "", "")
+                    .with("upstream", &incarnation)
+                    .with("present", present.unwrap_or_default())
+                    .with("tasks", self.runs.len());
+                actions.push(Action::Log(decision));
+                self.candidate = Some(Candidate::new(worker, now));
+            }
+        }
+        self.verify_candidate(now, actions);
+    }
+
+    /// Requests the next poll of the candidate, if it is due.
+    pub(super) fn verify_candidate(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        let Some(candidate) = self.candidate.as_mut() else {
+            return;
+        };
+        if now < candidate.next_poll {
+            return;
+        }
+        candidate.polls += 1;
+        candidate.next_poll = now + poll_backoff(candidate.polls);
+        actions.push(Action::Verify(candidate.worker.incarnation()));
+    }
+
+    /// When the next poll of the candidate is due.
+    pub(super) fn next_verification(&self) -> Option<Duration> {
+        self.candidate.as_ref().map(|candidate| candidate.next_poll)
+    }
+
+    /// Decides on the candidate by a response to a poll. Returns whether the candidate has become
+    /// the present incarnation under the id of the former one, which may still have orders in
+    /// flight: then only a poll with the new fence tells what runs.
+    pub(super) fn settle_candidate(
+        &mut self,
+        snapshot: &Snapshot,
+        now: Duration,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        let present = self.worker.as_ref().map(Worker::incarnation);
+        let present = present.unwrap_or_default();
+        let Some(candidate) = &self.candidate else {
+            return false;
+        };
+        match candidate.judge(snapshot, &present) {
+            Verdict::Undecided => false,
+            Verdict::Refuted(reason) => {
+                self.drop_candidate(reason, now, actions);
+                false
+            }
+            Verdict::Proven => {
+                let Some(candidate) = self.candidate.take() else {
+                    return false;
+                };
+                actions.push(Action::Log(candidate.decision("report proven", now)));
+                let worker = Worker {
+                    started_at: candidate
+                        .worker
+                        .started_at
+                        .or(snapshot.incarnation.started_at),
+                    ..candidate.worker
+                };
+                let keeps_id = worker.id == present.id;
+                self.begin_incarnation(worker, "a new upstream", now, actions);
+                keeps_id
+            }
+        }
+    }
+
+    /// Handles the rejection of a poll that named this incarnation: it is not at the upstream's
+    /// address.
+    pub(super) fn reject_candidate(
+        &mut self,
+        incarnation: &Incarnation,
+        now: Duration,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.is_candidate(incarnation) {
+            self.drop_candidate("another upstream answers", now, actions);
+        }
+    }
+
+    /// Whether `incarnation` is the one whose report is held.
+    pub(super) fn is_candidate(&self, incarnation: &Incarnation) -> bool {
+        let candidate = self.candidate.as_ref();
+        candidate.is_some_and(|candidate| candidate.worker.incarnation() == *incarnation)
+    }
+
+    fn drop_candidate(&mut self, reason: &'static str, now: Duration, actions: &mut Vec<Action>) {
+        if let Some(candidate) = self.candidate.take() {
+            let decision = candidate.decision("report ignored", now);
+            actions.push(Action::Log(decision.with("reason", reason)));
+        }
+    }
+}
+
+impl Candidate {
+    fn decision(&self, kind: &'static str, now: Duration) -> Decision {
+        Decision::new(kind, "", "")
+            .with("upstream", self.worker.incarnation())
+            .with("held_ms", now.saturating_sub(self.since).as_millis())
+            .with("polls", self.polls)
+    }
+}
--- a/crates/cassiarock-transient/src/host/incarnations.rs
+++ b/crates/cassiarock-transient/src/host/incarnations.rs
@@ -20,10 +20,10 @@
     Same,
     /// It is obsolete, for this reason.
     Outdated(&'static str),
-    /// It is about an unknown incarnation with an earlier start: either the report was delayed or
-    /// the upstream's clock was set back. A poll of the upstream decides.
+    /// It is about an unknown incarnation: either that one has replaced the present one, or the
+    /// report was delayed or is from another sender. A poll of the upstream decides.
     Unverified,
-    /// A new incarnation has started.
+    /// It is about an unknown incarnation while none is known to be alive.
     New,
 }
 
@@ -37,10 +37,7 @@
             ReportKind::Outdated(reason) => {
                 actions.push(ignored_report(&worker.incarnation(), reason))
             }
-            ReportKind::Unverified => {
-                actions.push(ignored_report(&worker.incarnation(), "an earlier start"));
-                actions.push(Action::Poll);
-            }
+            ReportKind::Unverified => self.hold_report(worker, now, &mut actions),
             ReportKind::New => self.begin_incarnation(worker, "a new upstream", now, &mut actions),
         }
         actions
@@ -67,10 +64,7 @@
         if known.previous_incarnations.contains(&incarnation) {
             return ReportKind::Outdated("an earlier life");
         }
-        if incarnation.started_before(&present) {
-            return ReportKind::Unverified;
-        }
-        ReportKind::New
+        ReportKind::Unverified
     }
 
     fn update(&mut self, worker: Worker, now: Duration, actions: &mut Vec<Action>) {
@@ -88,7 +82,7 @@
 
     /// Starts a new incarnation. What ran in the previous one has ended, except orders in flight: a
     /// new incarnation with the same id accepts them too.
-    fn begin_incarnation(
+    pub(super) fn begin_incarnation(
         &mut self,
         worker: Worker,
         reason: &'static str,
@@ -141,6 +135,9 @@
         now: Duration,
         actions: &mut Vec<Action>,
     ) -> bool {
+        if self.settle_candidate(snapshot, now, actions) {
+            return false;
+        }
         let Some(known) = self.worker.as_ref().filter(|known| !known.is_gone) else {
             return false;
         };
@@ -205,12 +202,14 @@
 
     /// Handles a response of another incarnation at the upstream's address.
     pub fn handle_replacement(&mut self, incarnation: &Incarnation, now: Duration) -> Vec<Action> {
-        self.lose_upstream(
+        let mut actions = self.lose_upstream(
             incarnation,
             Outcome::Crashed,
             "another life of the upstream answers",
             now,
-        )
+        );
+        self.reject_candidate(incarnation, now, &mut actions);
+        actions
     }
 
     /// Marks this incarnation of the upstream as gone and ends all attempts on it.
@@ -245,7 +244,7 @@
     /// Raises the fence after the upstream rejected it: the upstream has seen a higher one, from an
     /// agent that knew an incarnation of it with a later start time.
     pub fn raise_fence(&mut self, incarnation: &Incarnation) -> Vec<Action> {
-        if !self.is_current(incarnation) {
+        if !self.is_current(incarnation) && !self.is_candidate(incarnation) {
             return Vec::new();
         }
         let step = self.fence_step.max(FENCE_STEP);
--- a/crates/cassiarock-transient/src/host/mod.rs
+++ b/crates/cassiarock-transient/src/host/mod.rs
@@ -1,6 +1,7 @@
 //! The agent's side: tracks the tasks on its upstream, the entries that ordered them, and their
 //! leases.
 
+mod candidate;
 mod entries;
 mod entry_state;
 mod health;
@@ -18,9 +19,10 @@
 pub use snapshots::poll_backoff;
 pub use worker::Worker;
 
-use crate::Decision;
 use crate::message::Message;
 use crate::timing::HEARTBEAT_INTERVAL;
+use crate::{Decision, Incarnation};
+use candidate::Candidate;
 use cassiarock_id::{Name, Process};
 use entry_state::EntryState;
 use health::Health;
@@ -50,6 +52,9 @@
     Stop(Task),
     /// Poll the upstream at once, in addition to the long poll in progress.
     Poll,
+    /// Poll this incarnation over a connection of its own, without renewing leases: it has reported,
+    /// and its answer or its rejection shows whether it is there.
+    Verify(Incarnation),
     /// Write a decision to the log.
     Log(Decision),
 }
@@ -59,6 +64,8 @@
 pub struct Host {
     /// The upstream's current incarnation, as last reported.
     worker: Option<Worker>,
+    /// The report of another incarnation that a poll has yet to prove.
+    candidate: Option<Candidate>,
     /// Attempts that were ordered and have not ended.
     runs: Runs,
     /// Entries that are linked or have tasks here.
@@ -129,6 +136,7 @@
         self.stop_abandoned(now, &mut actions);
         self.retry_unconfirmed_stops(now, &mut actions);
         self.expire_leases(now, &mut actions);
+        self.verify_candidate(now, &mut actions);
         for state in self.entries.values_mut() {
             state.drop_expired_results(now);
         }
@@ -148,7 +156,8 @@
             .map(|state| state.last_load_sent + HEARTBEAT_INTERVAL)
             .min();
         let next = next.unwrap_or(now + HEARTBEAT_INTERVAL);
-        self.offered_until().map_or(next, |until| next.min(until))
+        let due = [self.offered_until(), self.next_verification()];
+        due.into_iter().flatten().fold(next, Duration::min)
     }
 }
 
--- a/crates/cassiarock-transient/tests/host/harness.rs
+++ b/crates/cassiarock-transient/tests/host/harness.rs
@@ -28,6 +28,13 @@
     pub suspect: Option<cassiarock_id::Name>,
     /// The offset of the upstream's clock from the agent's, in milliseconds.
     pub clock_offset_ms: u64,
+    /// The incarnation at the upstream's address, which answers for itself and rejects calls that
+    /// name another id.
+    pub present: Incarnation,
+    /// Whether it leaves calls unanswered.
+    pub is_silent: bool,
+    /// What it runs when it answers a poll that names it for the first time.
+    pub leftover: Vec<(&'static str, u32)>,
 }
 
 impl Harness {
@@ -43,6 +50,9 @@
             load: Load::default(),
             suspect: None,
             clock_offset_ms: 500_000,
+            present: Incarnation::default(),
+            is_silent: false,
+            leftover: Vec::new(),
         };
         harness.report("u-1", 1);
         harness.observe(&[], &[]);
@@ -70,8 +80,14 @@
         self.apply(actions);
     }
 
-    /// The given incarnation reports.
+    /// The given incarnation is at the upstream's address and reports.
     pub fn report_incarnation(&mut self, incarnation: &Incarnation, sequence: u64) {
+        self.present = incarnation.clone();
+        self.report_falsely(incarnation, sequence);
+    }
+
+    /// A report names the given incarnation, whoever is at the upstream's address.
+    pub fn report_falsely(&mut self, incarnation: &Incarnation, sequence: u64) {
         let worker = Worker {
             id: incarnation.id.clone(),
             started_at: incarnation.started_at,
@@ -184,6 +200,21 @@
         self.apply(actions);
     }
 
+    /// Whoever is at the upstream's address answers a poll that names `incarnation`.
+    fn answer_verification(&mut self, incarnation: &Incarnation) {
+        if self.is_silent {
+            return;
+        }
+        let present = self.present.clone();
+        if present.id == incarnation.id {
+            let leftover = self.leftover.clone();
+            self.poll_answered(&present, self.now, self.clock(), &leftover);
+            return;
+        }
+        let actions = self.host.handle_replacement(incarnation, self.now);
+        self.apply(actions);
+    }
+
     /// A poll lists a task as ended. Returns the agent's actions.
     pub fn end_in_poll(
         &mut self,
@@ -234,6 +265,10 @@
                 }
                 Action::Send(_, Message::AgentHeartbeat { load, .. }) => self.load = load,
                 Action::Poll => self.polls += 1,
+                Action::Verify(incarnation) => {
+                    self.polls += 1;
+                    self.answer_verification(&incarnation);
+                }
                 Action::Send(..) | Action::Log(_) => {}
             }
         }
--- a/crates/cassiarock-transient/tests/host/main.rs
+++ b/crates/cassiarock-transient/tests/host/main.rs
@@ -10,3 +10,4 @@
 mod restarts;
 mod room;
 mod shrink;
+mod verification;
--- /dev/null
+++ b/tests/platform/false_reports.rs
@@ -0,0 +1,72 @@
+//! Reports that are not from the upstream, with real processes.
+
+use crate::job::{PATIENCE, completed, hand_in, submit};
+use crate::site::{Site, body};
+use serde_json::{Value, json};
+use std::time::{Duration, Instant};
+
+/// A report with all its fields.
+fn report() -> Value {
+    json!({
+        "service": "tasks", "address": "10.1.0.9:9000", "zone": "dc-1", "version": "v1", "slots": 8,
+        "state": "ready", "coldRemainingMs": 0, "clockMs": 482_113, "sequence": 4,
+        "capacity": { "cpu": 16_000, "memMb": 16_384, "gpu": 0 }, "labels": ["a", "r9-9"],
+    })
+}
+
+/// Sends every agent a report and returns once each has acknowledged it.
+async fn report_to_all(site: &Site, id: impl Fn(usize) -> String, report: &Value) {
+    for (number, agent) in site.agents.iter().enumerate() {
+        let call = site.client.put(agent.reports(&id(number))).json(report);
+        assert_eq!(call.send().await.unwrap().status(), 200);
+    }
+}
+
+async fn until_begun(site: &Site, id: &str) {
+    let until = Instant::now() + PATIENCE;
+    while !site.witness.has_begun(id) {
+        assert!(Instant::now() < until);
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    tokio::time::sleep(Duration::from_millis(100)).await;
+}
+
+// A delayed report of a former sender, with no start time and under an id that the agent had never
+// heard of, ended all tasks of the upstream that ran on.
+#[tokio::test]
+async fn a_report_of_an_unknown_sender_starts_no_running_task_again() {
+    let site = Site::start(1, 3).await;
+    let id = "00000000000000f8";
+    let job = hand_in(&site.entries[0], id, body(12, 900), PATIENCE);
+    until_begun(&site, id).await;
+    report_to_all(&site, |_| "i-0fe1d3c2".to_owned(), &report()).await;
+    assert_eq!(job.await.unwrap(), completed());
+    assert_eq!(site.witness.runs().len(), 12, "{:?}", site.witness.runs());
+}
+
+// The former incarnation hung with its connections open, and calls to the new one waited behind
+// those to the former.
+#[tokio::test]
+async fn an_upstream_that_replaces_a_silent_one_is_used_at_once() {
+    let mut site = Site::start(1, 1).await;
+    let first = submit(&site.entries[0], "00000000000000f9", &body(4, 20), PATIENCE).await;
+    assert_eq!(first, completed());
+    let silent = site.agents[0].upstream.as_ref().unwrap();
+    silent.with_fault(|fault| fault.is_mute = true);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let witness = site.witness.clone();
+    site.agents[0].revive(witness);
+    let revived = Instant::now();
+    let id = "00000000000000fa";
+    let second = submit(&site.entries[0], id, &body(4, 20), PATIENCE).await;
+    assert_eq!(second, completed());
+    let runs = site.witness.runs();
+    let used = runs
+        .iter()
+        .find(|run| run.job == id)
+        .map(|run| run.began - revived);
+    assert!(
+        used.is_some_and(|used| used < Duration::from_millis(500)),
+        "{used:?}"
+    );
+}
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -10,6 +10,7 @@
 mod evacuation;
 mod explain;
 mod failures;
+mod false_reports;
 mod job;
 mod leaving;
 mod links;
