Believe no report under an upstream's id that its own clock refutes

What callers saw: one report of another sender under the id of an upstream, with another service and a sequence number far ahead, and nothing was placed there for as many heartbeats as the numbers lay apart. A job that had only this upstream was refused.

Cause: whatever came with a higher sequence number replaced what the upstream had said of itself, and its own reports then counted as older ones. The number orders the reports of one sender; it can't tell who the sender is.

Reports of an incarnation are now ordered by the upstream's clock, which every answer to a poll reads too. One that is ahead of the clock is held until a poll has read it again. Service and labels do not change within an incarnation: a report that contradicts them counts only if the next one agrees with it. The report by which an incarnation becomes known while none was is checked against the clock of the first answer, and no lease is asked for by its clock before. A report whose capacity lacks cpu or memMb is answered 400; it counted as no room at all.

Evidence: a_contradicting_report_under_the_id_of_an_upstream_does_not_exclude_it failed on the code before (refused, expected completed), as did a_malformed_report_names_no_upstream_and_the_good_one_holds with {} for a capacity (200).

Test changed: an_incarnation_with_an_earlier_start_time_is_found_by_its_response told another clock in its report than in its answers; now it tells one.

--- a/crates/cassiarock-transient/src/host/candidate.rs
+++ b/crates/cassiarock-transient/src/host/candidate.rs
@@ -24,7 +24,10 @@
 /// What a poll's response says of a candidate.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Verdict {
-    Proven,
+    /// Its incarnation has replaced the present one.
+    Replaces,
+    /// It is a report of the present incarnation, and not ahead of its clock.
+    Updates,
     Refuted(&'static str),
     Undecided,
 }
@@ -51,13 +54,35 @@
         } else {
             !own.differs_from(&snapshot.incarnation)
         };
-        if is_own {
-            return Verdict::Proven;
+        if present.differs_from(&own) && is_own {
+            return Verdict::Replaces;
         }
         if present.differs_from(&snapshot.incarnation) {
             return Verdict::Undecided;
         }
-        Verdict::Refuted("the present upstream answers")
+        if present.differs_from(&own) {
+            return Verdict::Refuted("the present upstream answers");
+        }
+        // The clock was read after the report had arrived.
+        if self.worker.clock > snapshot.clock {
+            return Verdict::Refuted("ahead of the upstream's clock");
+        }
+        Verdict::Updates
+    }
+}
+
+impl Candidate {
+    fn verdict_decision(&self, verdict: Verdict, now: Duration) -> Decision {
+        let (kind, reason) = match verdict {
+            Verdict::Refuted(reason) => ("report ignored", reason),
+            Verdict::Updates => ("report proven", "the clock of the present upstream"),
+            Verdict::Replaces | Verdict::Undecided => ("report proven", "an answer"),
+        };
+        Decision::new(kind, "", "")
+            .with("upstream", self.worker.incarnation())
+            .with("reason", reason)
+            .with("held_ms", now.saturating_sub(self.since).as_millis())
+            .with("polls", self.polls)
     }
 }
 
@@ -67,12 +92,17 @@
         let incarnation = worker.incarnation();
         let held = self.candidate.as_mut();
         match held.filter(|held| held.worker.incarnation() == incarnation) {
-            Some(held) => held.worker = worker,
+            Some(held) => {
+                held.worker = worker;
+                held.since = now;
+            }
             None => {
                 let present = self.worker.as_ref().map(Worker::incarnation);
                 let decision = Decision::new("report held", "", "")
                     .with("upstream", &incarnation)
                     .with("present", present.unwrap_or_default())
+                    .with("clock", worker.clock)
+                    .with("known_clock", self.lease.estimate(now))
                     .with("tasks", self.runs.len());
                 actions.push(Action::Log(decision));
                 self.candidate = Some(Candidate::new(worker, now));
@@ -110,20 +140,17 @@
     ) -> bool {
         let present = self.worker.as_ref().map(Worker::incarnation);
         let present = present.unwrap_or_default();
-        let Some(candidate) = &self.candidate else {
+        let Some(candidate) = self.candidate.take() else {
             return false;
         };
-        match candidate.judge(snapshot, &present) {
-            Verdict::Undecided => false,
-            Verdict::Refuted(reason) => {
-                self.drop_candidate(reason, now, actions);
-                false
-            }
-            Verdict::Proven => {
-                let Some(candidate) = self.candidate.take() else {
-                    return false;
-                };
-                actions.push(Action::Log(candidate.decision("report proven", now)));
+        let verdict = candidate.judge(snapshot, &present);
+        if matches!(verdict, Verdict::Undecided) {
+            self.candidate = Some(candidate);
+            return false;
+        }
+        actions.push(Action::Log(candidate.verdict_decision(verdict, now)));
+        match verdict {
+            Verdict::Replaces => {
                 let worker = Worker {
                     started_at: candidate
                         .worker
@@ -135,6 +162,12 @@
                 self.begin_incarnation(worker, "a new upstream", now, actions);
                 keeps_id
             }
+            Verdict::Updates => {
+                self.lease.record_clock(Some(snapshot.clock), now);
+                actions.extend(self.handle_report(candidate.worker, now));
+                false
+            }
+            Verdict::Refuted(_) | Verdict::Undecided => false,
         }
     }
 
@@ -146,8 +179,12 @@
         now: Duration,
         actions: &mut Vec<Action>,
     ) {
-        if self.is_candidate(incarnation) {
-            self.drop_candidate("another upstream answers", now, actions);
+        if !self.is_candidate(incarnation) {
+            return;
+        }
+        if let Some(candidate) = self.candidate.take() {
+            let verdict = Verdict::Refuted("another upstream answers");
+            actions.push(Action::Log(candidate.verdict_decision(verdict, now)));
         }
     }
 
@@ -156,20 +193,4 @@
         let candidate = self.candidate.as_ref();
         candidate.is_some_and(|candidate| candidate.worker.incarnation() == *incarnation)
     }
-
-    fn drop_candidate(&mut self, reason: &'static str, now: Duration, actions: &mut Vec<Action>) {
-        if let Some(candidate) = self.candidate.take() {
-            let decision = candidate.decision("report ignored", now);
-            actions.push(Action::Log(decision.with("reason", reason)));
-        }
-    }
-}
-
-impl Candidate {
-    fn decision(&self, kind: &'static str, now: Duration) -> Decision {
-        Decision::new(kind, "", "")
-            .with("upstream", self.worker.incarnation())
-            .with("held_ms", now.saturating_sub(self.since).as_millis())
-            .with("polls", self.polls)
-    }
 }
--- a/crates/cassiarock-transient/src/host/incarnations.rs
+++ b/crates/cassiarock-transient/src/host/incarnations.rs
@@ -1,4 +1,4 @@
-//! Tracks incarnations of the upstream: matches reports and responses to them.
+//! Tracks incarnations of the upstream: matches responses to them.
 
 use super::health::Health;
 use super::lease::Lease;
@@ -14,72 +14,7 @@
 /// hour, as fences are start times. It doubles with each further rejection.
 const FENCE_STEP: u64 = 3_600_000;
 
-/// How a report relates to the known incarnation.
-enum ReportKind {
-    /// It is about the known incarnation.
-    Same,
-    /// It is obsolete, for this reason.
-    Outdated(&'static str),
-    /// It is about an unknown incarnation: either that one has replaced the present one, or the
-    /// report was delayed or is from another sender. A poll of the upstream decides.
-    Unverified,
-    /// It is about an unknown incarnation while none is known to be alive.
-    New,
-}
-
 impl Host {
-    /// Handles a report of the upstream. A report of an incarnation that another one has followed
-    /// was delayed by the network and is ignored.
-    pub fn handle_report(&mut self, worker: Worker, now: Duration) -> Vec<Action> {
-        let mut actions = Vec::new();
-        match self.classify(&worker) {
-            ReportKind::Same => self.update(worker, now, &mut actions),
-            ReportKind::Outdated(reason) => {
-                actions.push(ignored_report(&worker.incarnation(), reason))
-            }
-            ReportKind::Unverified => self.hold_report(worker, now, &mut actions),
-            ReportKind::New => self.begin_incarnation(worker, "a new upstream", now, &mut actions),
-        }
-        actions
-    }
-
-    fn classify(&self, worker: &Worker) -> ReportKind {
-        let Some(known) = &self.worker else {
-            return ReportKind::New;
-        };
-        let (incarnation, present) = (worker.incarnation(), known.incarnation());
-        if !present.differs_from(&incarnation) {
-            let is_older = worker.sequence < known.sequence;
-            return if is_older {
-                ReportKind::Outdated("an earlier report")
-            } else {
-                ReportKind::Same
-            };
-        }
-        // No other incarnation is known to be alive. If this report was delayed, no order will be
-        // answered.
-        if known.is_gone {
-            return ReportKind::New;
-        }
-        if known.previous_incarnations.contains(&incarnation) {
-            return ReportKind::Outdated("an earlier life");
-        }
-        ReportKind::Unverified
-    }
-
-    fn update(&mut self, worker: Worker, now: Duration, actions: &mut Vec<Action>) {
-        let before = (self.upstream(), self.notices);
-        self.notices = before.1.after(&worker, now);
-        self.worker = match self.worker.take() {
-            Some(known) => Some(worker.with_history_of(known)),
-            None => Some(worker),
-        };
-        if self.upstream() != before.0 || self.notices.is_news_after(before.1, now) {
-            self.announce_upstream_at(now, actions, "the upstream changed");
-            self.send_heartbeat_to_all(now, actions);
-        }
-    }
-
     /// Starts a new incarnation. What ran in the previous one has ended, except orders in flight: a
     /// new incarnation with the same id accepts them too.
     pub(super) fn begin_incarnation(
@@ -97,6 +32,7 @@
             Vec::new()
         };
         self.lose_all(Outcome::Crashed, "the upstream restarted", now, actions);
+        self.first_clock = Some(worker.clock);
         self.lease = Lease::new(worker.clock, now);
         self.notices = Notices::of(&worker, now);
         if let Some(started_at) = worker.started_at {
@@ -107,6 +43,7 @@
         previous_incarnations.retain(|incarnation| *incarnation != worker.incarnation());
         self.worker = Some(worker.with_previous_incarnations(previous_incarnations));
         self.incarnation_known_since = now;
+        self.questioned = None;
         self.last_seen_end = 0;
         self.is_reconciled = false;
         self.health = Health::default();
@@ -257,7 +194,7 @@
     }
 }
 
-fn ignored_report(incarnation: &Incarnation, reason: &'static str) -> Action {
+pub(super) fn ignored_report(incarnation: &Incarnation, reason: &'static str) -> Action {
     Action::Log(
         Decision::new("report ignored", "", "")
             .with("upstream", incarnation)
--- a/crates/cassiarock-transient/src/host/lease.rs
+++ b/crates/cassiarock-transient/src/host/lease.rs
@@ -51,6 +51,16 @@
         }
     }
 
+    /// Starts anew from a reading of the upstream's clock, before anything runs under these leases.
+    pub(super) const fn reset(&mut self, clock: u64, now: Duration) {
+        *self = Self::new(clock, now);
+    }
+
+    /// The estimate of the upstream's clock now, which is at most a response's time behind it.
+    pub(super) fn estimate(&self, now: Duration) -> u64 {
+        self.clock(now, 1.0)
+    }
+
     /// Renews the leases and returns their expiry on the upstream's clock.
     pub(super) fn renew(&mut self, now: Duration) -> u64 {
         let until = self.clock(now, 1.0).saturating_add(millis(LEASE));
--- a/crates/cassiarock-transient/src/host/mod.rs
+++ b/crates/cassiarock-transient/src/host/mod.rs
@@ -10,6 +10,7 @@
 mod notice;
 mod offer;
 mod orders;
+mod reports;
 mod run;
 mod snapshots;
 mod upstream;
@@ -66,6 +67,8 @@
     worker: Option<Worker>,
     /// The report of another incarnation that a poll has yet to prove.
     candidate: Option<Candidate>,
+    /// The last report of the present incarnation that contradicts the ones before it.
+    questioned: Option<Worker>,
     /// Attempts that were ordered and have not ended.
     runs: Runs,
     /// Entries that are linked or have tasks here.
@@ -78,6 +81,9 @@
     lease: Lease,
     /// When the upstream's current incarnation became known.
     incarnation_known_since: Duration,
+    /// The clock of the report by which the current incarnation became known, until its first answer
+    /// to a poll.
+    first_clock: Option<u64>,
     /// The fencing token that orders to the upstream carry; it increases with each incarnation.
     fence: u64,
     /// The amount that the fence increases by the next time it is rejected.
--- a/crates/cassiarock-transient/src/host/snapshots.rs
+++ b/crates/cassiarock-transient/src/host/snapshots.rs
@@ -59,9 +59,11 @@
     }
 
     /// The time on the upstream's clock until which the next poll renews all leases. `None` while
-    /// the upstream does not answer, so that the leases are certain to expire.
+    /// the upstream does not answer, so that the leases are certain to expire, and before its first
+    /// answer, as the clock of a report may be false.
     pub fn renew_leases(&mut self, now: Duration) -> Option<u64> {
-        (!self.lease.is_silent(now)).then(|| self.lease.renew(now))
+        let until = (!self.lease.is_silent(now)).then(|| self.lease.renew(now));
+        until.filter(|_| self.first_clock.is_none())
     }
 
     /// Handles the response to a poll of the upstream.
@@ -70,6 +72,7 @@
         if !self.accept_snapshot(snapshot, now, &mut actions) {
             return actions;
         }
+        self.check_first_report(snapshot.clock, now, &mut actions);
         self.lease.record_clock(Some(snapshot.clock), now);
         for (number, job, attempt, outcome) in &snapshot.ended {
             if *number <= self.last_seen_end {
--- a/crates/cassiarock-transient/src/host/worker.rs
+++ b/crates/cassiarock-transient/src/host/worker.rs
@@ -65,6 +65,11 @@
         !self.is_gone && !self.is_unreported
     }
 
+    /// Whether it says something else than `known` of what does not change within an incarnation.
+    pub(super) fn contradicts(&self, known: &Self) -> bool {
+        self.service != known.service || self.labels != known.labels
+    }
+
     /// The previous incarnations and this one, the latest ones only.
     pub(super) fn incarnations(&self) -> Vec<Incarnation> {
         let mut incarnations = self.previous_incarnations.clone();
--- a/crates/cassiarock-transient/tests/host/main.rs
+++ b/crates/cassiarock-transient/tests/host/main.rs
@@ -6,6 +6,7 @@
 mod lifecycle;
 mod notices;
 mod orders;
+mod plausibility;
 mod polls;
 mod restarts;
 mod room;
--- a/crates/cassiarock-transient/tests/host/restarts.rs
+++ b/crates/cassiarock-transient/tests/host/restarts.rs
@@ -146,9 +146,9 @@
     harness.is_silent = true;
     harness.report_incarnation(&started_at(500), 1);
     let former = harness.host.fence();
-    harness.poll_answered(&started_at(500), harness.now, 7, &[]);
+    harness.poll_answered(&started_at(500), harness.now, harness.clock(), &[]);
     harness.report_incarnation(&started_at(500), 2);
-    harness.poll_answered(&started_at(500), harness.now, 8, &[]);
+    harness.poll_answered(&started_at(500), harness.now, harness.clock(), &[]);
     assert_eq!(harness.outcome_of(1), Some(Outcome::Crashed));
     harness.order(1, "k", 2);
     assert_eq!(harness.starts.len(), 2);
--- a/tests/platform/bad_input.rs
+++ b/tests/platform/bad_input.rs
@@ -74,6 +74,7 @@
         ("state", json!("resting")),
         ("service", json!(7)),
         ("capacity", json!("large")),
+        ("capacity", json!({})),
         ("sequence", json!(null)),
     ] {
         let mut report = good.clone();
--- a/tests/platform/false_reports.rs
+++ b/tests/platform/false_reports.rs
@@ -70,3 +70,26 @@
         "{used:?}"
     );
 }
+
+// Another sender's report named another service under the id of the upstream, with a sequence number
+// far ahead. The upstream's own reports counted as older ones, and nothing was placed there.
+#[tokio::test]
+async fn a_contradicting_report_under_the_id_of_an_upstream_does_not_exclude_it() {
+    let site = Site::start(1, 1).await;
+    let mut false_report = report();
+    false_report["service"] = json!("other-tasks");
+    false_report["sequence"] = json!(1_000_000);
+    for id in ["00000000000000fb", "00000000000000fc"] {
+        report_to_all(&site, |number| format!("u-{number}-0"), &false_report).await;
+        let began = Instant::now();
+        let reply = submit(&site.entries[0], id, &body(4, 20), PATIENCE).await;
+        assert_eq!(reply, completed());
+        assert!(
+            began.elapsed() < Duration::from_secs(1),
+            "{:?}",
+            began.elapsed()
+        );
+        false_report["service"] = json!("tasks");
+        false_report["capacity"]["cpu"] = json!(0);
+    }
+}
