Let a deregistration end an upstream only once its poll fails

What callers saw: none has reported it. A deregistration of another sender, under the id of an upstream that tells no time of start or has said that it leaves, ended all its tasks at the agent; they started elsewhere while they ran on, and where all upstreams were leaving their job was answered 504.

Cause: the same as with false reports, on a related path: Host::deregister took one unverified message for the end.

Now it makes the agent poll. While the upstream answers, nothing ends; when a poll finds no connection, its tasks are lost at once, and when it falls silent, once their leases have lapsed. Neither counts as a crash under a task. A refused connection alone still proves nothing, as cuts may refuse as well.

Evidence: a_false_deregistration_starts_no_running_task_again failed on the code before (504, expected completed), as did the_tasks_of_an_upstream_that_deregisters_and_ends_start_elsewhere_at_once (they began before its process had ended). In the lab an upstream that is down now refuses the polls of its agent, as nothing listens there.

Tests changed: two tests that took a deregistration for the end itself now let the poll fail as well.

--- a/crates/cassiarock-dispatch/src/agent.rs
+++ b/crates/cassiarock-dispatch/src/agent.rs
@@ -81,6 +81,8 @@
     Snapshot(Snapshot),
     /// Another incarnation of the upstream has answered in place of this one.
     Replaced(Incarnation),
+    /// No connection could be opened for a poll of this incarnation.
+    Unreachable(Incarnation),
     /// This incarnation of the upstream has seen a higher fencing token than this agent's.
     Fenced(Incarnation),
     /// Accept no new tasks.
@@ -129,8 +131,11 @@
     fn handle_input(&mut self, input: Input, now: Duration) -> Vec<Action> {
         match input {
             Input::Report(Report::Heartbeat(worker)) => self.host.handle_report(worker, now),
-            Input::Report(Report::Deregistered(id)) => self.host.deregister(&id, now),
+            Input::Report(Report::Deregistered(id)) => self.host.deregister(&id),
             Input::Replaced(incarnation) => self.host.handle_replacement(&incarnation, now),
+            Input::Unreachable(incarnation) => {
+                self.host.handle_refused_connection(&incarnation, now)
+            }
             Input::Fenced(incarnation) => self.host.raise_fence(&incarnation),
             Input::Link(event) => self.handle_event(event, now),
             Input::EntryAddress(address) => {
--- a/crates/cassiarock-dispatch/src/orders.rs
+++ b/crates/cassiarock-dispatch/src/orders.rs
@@ -202,7 +202,10 @@
             Err(CallError::Fenced) => (false, Input::Fenced(target.incarnation)),
             Err(CallError::Failed(error)) => {
                 log::warn!(dependency = "upstream"; "lost: {error}");
-                return false;
+                if !error.is_refused_connection() {
+                    return false;
+                }
+                (false, Input::Unreachable(target.incarnation))
             }
         };
         // Fails only if the actor has ended.
--- a/crates/cassiarock-lab/src/simulation/agents.rs
+++ b/crates/cassiarock-lab/src/simulation/agents.rs
@@ -225,6 +225,10 @@
         }
         let agent = &mut self.agents[number];
         if agent.is_upstream_down {
+            let incarnation = agent.upstream_incarnation();
+            let host = &mut agent.host;
+            let actions = host.handle_refused_connection(&incarnation, self.now);
+            self.execute_agent_actions(number, actions);
             return;
         }
         // The lease is not modelled: runs end with the upstream or its agent.
--- a/crates/cassiarock-lab/src/simulation/replacing.rs
+++ b/crates/cassiarock-lab/src/simulation/replacing.rs
@@ -41,7 +41,7 @@
         }
         let agent = &mut self.agents[number];
         let id = upstream_name(number);
-        let actions = agent.host.deregister(&id, self.now);
+        let actions = agent.host.deregister(&id);
         self.execute_agent_actions(number, actions);
     }
 
--- a/crates/cassiarock-transient/src/host/incarnations.rs
+++ b/crates/cassiarock-transient/src/host/incarnations.rs
@@ -24,6 +24,7 @@
         now: Duration,
         actions: &mut Vec<Action>,
     ) {
+        let outcome = self.outcome_of_loss();
         let known = self.worker.take();
         let keeps_id = known.as_ref().is_some_and(|known| known.id == worker.id);
         let in_flight = if keeps_id {
@@ -31,7 +32,7 @@
         } else {
             Vec::new()
         };
-        self.lose_all(Outcome::Crashed, "the upstream restarted", now, actions);
+        self.lose_all(outcome, "the upstream restarted", now, actions);
         self.first_clock = Some(worker.clock);
         self.lease = Lease::new(worker.clock, now);
         self.notices = Notices::of(&worker, now);
@@ -97,6 +98,7 @@
             remaining: None,
             cold_remaining: None,
             is_unreported: true,
+            is_deregistered: false,
             ..known.clone()
         };
         self.begin_incarnation(worker, "it started again under its id", now, actions);
@@ -117,34 +119,54 @@
         worker.is_some_and(|worker| !worker.incarnation().differs_from(incarnation))
     }
 
-    /// Handles the deregistration of the upstream. One that reports its start time may have
-    /// restarted since then, and this message may be about the previous incarnation; so it counts
-    /// only if the upstream was leaving or reports no start time.
-    pub fn deregister(&mut self, id: &str, now: Duration) -> Vec<Action> {
-        let known = self.worker.as_ref().filter(|worker| &*worker.id == id);
-        match known {
-            Some(worker) if worker.started_at.is_some() && !worker.is_leaving => {
-                vec![ignored_report(
-                    &worker.incarnation(),
-                    "an end without notice",
-                )]
-            }
-            Some(worker) => {
-                let incarnation = worker.incarnation();
-                self.lose_upstream(&incarnation, Outcome::Lost, "the upstream ended", now)
-            }
-            None => Vec::new(),
+    /// Handles the deregistration of the upstream, which anyone may have sent: a poll tells whether
+    /// the upstream has ended. From one that reports its start time the message may be about the
+    /// previous incarnation, so it counts only if the upstream was leaving.
+    pub fn deregister(&mut self, id: &str) -> Vec<Action> {
+        let known = self.worker.as_mut().filter(|worker| &*worker.id == id);
+        let Some(worker) = known.filter(|worker| !worker.is_gone) else {
+            return Vec::new();
+        };
+        let incarnation = worker.incarnation();
+        if worker.started_at.is_some() && !worker.is_leaving {
+            return vec![ignored_report(&incarnation, "an end without notice")];
+        }
+        worker.is_deregistered = true;
+        let decision = Decision::new("deregistered", "", "")
+            .with("upstream", incarnation)
+            .with("tasks", self.runs.len());
+        vec![Action::Log(decision), Action::Poll]
+    }
+
+    /// Handles a poll of this incarnation for which no connection could be opened. By itself that may
+    /// be a cut; of an upstream that has deregistered it shows that it has ended.
+    pub fn handle_refused_connection(
+        &mut self,
+        incarnation: &Incarnation,
+        now: Duration,
+    ) -> Vec<Action> {
+        let worker = self.worker.as_ref();
+        if !worker.is_some_and(|worker| worker.is_deregistered) {
+            return Vec::new();
+        }
+        self.lose_upstream(incarnation, "the upstream ended", now)
+    }
+
+    /// How the attempts end when the present incarnation is gone: if it had deregistered, no task
+    /// has crashed it.
+    pub(super) fn outcome_of_loss(&self) -> Outcome {
+        let worker = self.worker.as_ref();
+        if worker.is_some_and(|worker| worker.is_deregistered) {
+            Outcome::Lost
+        } else {
+            Outcome::Crashed
         }
     }
 
     /// Handles a response of another incarnation at the upstream's address.
     pub fn handle_replacement(&mut self, incarnation: &Incarnation, now: Duration) -> Vec<Action> {
-        let mut actions = self.lose_upstream(
-            incarnation,
-            Outcome::Crashed,
-            "another life of the upstream answers",
-            now,
-        );
+        let mut actions =
+            self.lose_upstream(incarnation, "another life of the upstream answers", now);
         self.reject_candidate(incarnation, now, &mut actions);
         actions
     }
@@ -153,7 +175,6 @@
     fn lose_upstream(
         &mut self,
         incarnation: &Incarnation,
-        outcome: Outcome,
         reason: &'static str,
         now: Duration,
     ) -> Vec<Action> {
@@ -161,6 +182,7 @@
         if !self.is_current(incarnation) {
             return actions;
         }
+        let outcome = self.outcome_of_loss();
         // First, so that the results name no room of an upstream that is gone.
         if let Some(worker) = &mut self.worker {
             worker.is_gone = true;
--- a/crates/cassiarock-transient/src/host/snapshots.rs
+++ b/crates/cassiarock-transient/src/host/snapshots.rs
@@ -167,12 +167,8 @@
         if self.runs.is_empty() || !self.lease.has_lapsed(now) {
             return;
         }
-        self.lose_all(
-            Outcome::Crashed,
-            "the upstream does not answer",
-            now,
-            actions,
-        );
+        let outcome = self.outcome_of_loss();
+        self.lose_all(outcome, "the upstream does not answer", now, actions);
     }
 
     pub(super) fn finish(
--- a/crates/cassiarock-transient/src/host/worker.rs
+++ b/crates/cassiarock-transient/src/host/worker.rs
@@ -37,6 +37,8 @@
     /// Whether it has not reported yet: it is known only from its response to a poll, which does
     /// not tell its capacity.
     pub is_unreported: bool,
+    /// Whether it has deregistered, according to a message that its next report refutes.
+    pub is_deregistered: bool,
     /// The previous incarnations.
     pub previous_incarnations: Vec<Incarnation>,
 }
--- a/crates/cassiarock-transient/tests/host/lifecycle.rs
+++ b/crates/cassiarock-transient/tests/host/lifecycle.rs
@@ -202,7 +202,12 @@
 fn a_retired_entry_stays_retired_when_the_upstream_changes() {
     let mut harness = Harness::new();
     harness.host.set_retired(&entry(1), true);
-    let actions = harness.host.deregister("u-1", harness.now);
+    let mut actions = harness.host.deregister("u-1");
+    let incarnation = harness.incarnation();
+    let ended = harness
+        .host
+        .handle_refused_connection(&incarnation, harness.now);
+    actions.extend(ended);
     harness.apply(actions);
     let worker = Worker {
         id: "u-2".into(),
--- a/crates/cassiarock-transient/tests/host/main.rs
+++ b/crates/cassiarock-transient/tests/host/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
+mod deregistration;
 mod harness;
 mod lifecycle;
 mod notices;
--- a/crates/cassiarock-transient/tests/host/restarts.rs
+++ b/crates/cassiarock-transient/tests/host/restarts.rs
@@ -228,7 +228,12 @@
 #[test]
 fn a_delayed_deregistration_of_a_previous_incarnation_ends_nothing() {
     let mut harness = running();
-    let actions = harness.host.deregister("u", harness.now);
+    let actions = harness.host.deregister("u");
+    harness.apply(actions);
+    let incarnation = harness.incarnation();
+    let actions = harness
+        .host
+        .handle_refused_connection(&incarnation, harness.now);
     harness.apply(actions);
     assert_eq!(harness.outcome_of(1), None);
 }
--- a/tests/platform/false_reports.rs
+++ b/tests/platform/false_reports.rs
@@ -93,3 +93,48 @@
         false_report["capacity"]["cpu"] = json!(0);
     }
 }
+
+// Another sender's deregistration, under the id of an upstream that had said that it leaves, ended all
+// tasks there, which ran on.
+#[tokio::test]
+async fn a_false_deregistration_starts_no_running_task_again() {
+    let site = Site::start(1, 3).await;
+    let id = "00000000000000fd";
+    let job = hand_in(&site.entries[0], id, body(12, 900), PATIENCE);
+    until_begun(&site, id).await;
+    for agent in &site.agents {
+        let upstream = agent.upstream.as_ref().unwrap();
+        upstream.with_fault(|fault| fault.is_leaving = true);
+    }
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    for (number, agent) in site.agents.iter().enumerate() {
+        let call = site.client.delete(agent.reports(&format!("u-{number}-0")));
+        assert_eq!(call.send().await.unwrap().status(), 200);
+    }
+    assert_eq!(job.await.unwrap(), completed());
+    assert_eq!(site.witness.runs().len(), 12, "{:?}", site.witness.runs());
+}
+
+#[tokio::test]
+async fn the_tasks_of_an_upstream_that_deregisters_and_ends_start_elsewhere_at_once() {
+    let mut site = Site::start(1, 2).await;
+    let id = "00000000000000fe";
+    let job = hand_in(&site.entries[0], id, body(8, 900), PATIENCE);
+    until_begun(&site, id).await;
+    let leaving = site.agents[0].upstream.as_ref().unwrap();
+    leaving.with_fault(|fault| fault.is_leaving = true);
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    let call = site.client.delete(site.agents[0].reports("u-0-0"));
+    assert_eq!(call.send().await.unwrap().status(), 200);
+    site.agents[0].upstream = None;
+    let ended = Instant::now();
+    assert_eq!(job.await.unwrap(), completed());
+    let runs = site.witness.runs();
+    let again = runs.iter().filter(|run| run.began > ended);
+    let last = again.map(|run| run.began - ended).max();
+    assert!(
+        last.is_some_and(|last| last < Duration::from_millis(400)),
+        "{last:?}"
+    );
+    site.assert_never_twice();
+}
