Judge held reports with one type for what is decided

The verdict on a held report had a variant for no verdict, which each match had to name; a judgement that decides nothing is None now. The lease is reset by its constructor.

--- a/crates/cassiarock-transient/src/host/candidate.rs
+++ b/crates/cassiarock-transient/src/host/candidate.rs
@@ -28,8 +28,8 @@
     Replaces,
     /// It is a report of the present incarnation, and not ahead of its clock.
     Updates,
+    /// It is false or late, for this reason.
     Refuted(&'static str),
-    Undecided,
 }
 
 impl Candidate {
@@ -42,11 +42,11 @@
         }
     }
 
-    /// Judges the candidate by a response, given the upstream's present incarnation.
-    fn judge(&self, snapshot: &Snapshot, present: &Incarnation) -> Verdict {
-        // A poll that was sent before the report arrived says nothing of it.
+    /// Judges the candidate by a response, given the upstream's present incarnation. `None` if the
+    /// response decides nothing, as that to a poll that was sent before the report arrived.
+    fn judge(&self, snapshot: &Snapshot, present: &Incarnation) -> Option<Verdict> {
         if snapshot.asked < self.since {
-            return Verdict::Undecided;
+            return None;
         }
         let own = self.worker.incarnation();
         let is_own = if own.id == present.id {
@@ -54,29 +54,27 @@
         } else {
             !own.differs_from(&snapshot.incarnation)
         };
-        if present.differs_from(&own) && is_own {
-            return Verdict::Replaces;
+        let is_update = !present.differs_from(&own);
+        if is_own && !is_update {
+            return Some(Verdict::Replaces);
         }
         if present.differs_from(&snapshot.incarnation) {
-            return Verdict::Undecided;
-        }
-        if present.differs_from(&own) {
-            return Verdict::Refuted("the present upstream answers");
+            return None;
         }
         // The clock was read after the report had arrived.
-        if self.worker.clock > snapshot.clock {
-            return Verdict::Refuted("ahead of the upstream's clock");
-        }
-        Verdict::Updates
+        let is_ahead = self.worker.clock > snapshot.clock;
+        Some(match (is_update, is_ahead) {
+            (true, false) => Verdict::Updates,
+            (true, true) => Verdict::Refuted("ahead of the upstream's clock"),
+            (false, _) => Verdict::Refuted("the present upstream answers"),
+        })
     }
-}
 
-impl Candidate {
-    fn verdict_decision(&self, verdict: Verdict, now: Duration) -> Decision {
+    fn decision(&self, verdict: Verdict, now: Duration) -> Decision {
         let (kind, reason) = match verdict {
-            Verdict::Refuted(reason) => ("report ignored", reason),
+            Verdict::Replaces => ("report proven", "an answer"),
             Verdict::Updates => ("report proven", "the clock of the present upstream"),
-            Verdict::Replaces | Verdict::Undecided => ("report proven", "an answer"),
+            Verdict::Refuted(reason) => ("report ignored", reason),
         };
         Decision::new(kind, "", "")
             .with("upstream", self.worker.incarnation())
@@ -140,15 +138,14 @@
     ) -> bool {
         let present = self.worker.as_ref().map(Worker::incarnation);
         let present = present.unwrap_or_default();
-        let Some(candidate) = self.candidate.take() else {
+        let held = self.candidate.as_ref();
+        let Some(verdict) = held.and_then(|held| held.judge(snapshot, &present)) else {
             return false;
         };
-        let verdict = candidate.judge(snapshot, &present);
-        if matches!(verdict, Verdict::Undecided) {
-            self.candidate = Some(candidate);
+        let Some(candidate) = self.candidate.take() else {
             return false;
-        }
-        actions.push(Action::Log(candidate.verdict_decision(verdict, now)));
+        };
+        actions.push(Action::Log(candidate.decision(verdict, now)));
         match verdict {
             Verdict::Replaces => {
                 let worker = Worker {
@@ -167,7 +164,7 @@
                 actions.extend(self.handle_report(candidate.worker, now));
                 false
             }
-            Verdict::Refuted(_) | Verdict::Undecided => false,
+            Verdict::Refuted(_) => false,
         }
     }
 
@@ -184,7 +181,7 @@
         }
         if let Some(candidate) = self.candidate.take() {
             let verdict = Verdict::Refuted("another upstream answers");
-            actions.push(Action::Log(candidate.verdict_decision(verdict, now)));
+            actions.push(Action::Log(candidate.decision(verdict, now)));
         }
     }
 
--- a/crates/cassiarock-transient/src/host/lease.rs
+++ b/crates/cassiarock-transient/src/host/lease.rs
@@ -51,11 +51,6 @@
         }
     }
 
-    /// Starts anew from a reading of the upstream's clock, before anything runs under these leases.
-    pub(super) const fn reset(&mut self, clock: u64, now: Duration) {
-        *self = Self::new(clock, now);
-    }
-
     /// The estimate of the upstream's clock now, which is at most a response's time behind it.
     pub(super) fn estimate(&self, now: Duration) -> u64 {
         self.clock(now, 1.0)
--- a/crates/cassiarock-transient/src/host/reports.rs
+++ b/crates/cassiarock-transient/src/host/reports.rs
@@ -1,6 +1,7 @@
 //! Decides which reports are believed.
 
 use super::incarnations::ignored_report;
+use super::lease::Lease;
 use super::notice::Notices;
 use super::worker::Worker;
 use super::{Action, Host};
@@ -122,14 +123,14 @@
         now: Duration,
         actions: &mut Vec<Action>,
     ) {
-        let told = self.first_clock.take();
-        let Some(worker) = self.worker.as_mut().filter(|_| told > Some(clock)) else {
+        let reported = self.first_clock.take();
+        let Some(worker) = self.worker.as_mut().filter(|_| reported > Some(clock)) else {
             return;
         };
         worker.is_unreported = true;
         worker.clock = clock;
         let incarnation = worker.incarnation();
-        self.lease.reset(clock, now);
+        self.lease = Lease::new(clock, now);
         self.notices = Notices::default();
         actions.push(ignored_report(
             &incarnation,
