Draw false reports and deregistrations in the soak

Its seeds drew no message of another sender, so that it could not see the faults mended before. Each round now sends one to an agent: a report of a stranger, of a former incarnation, of the present one with another service or another start, or a deregistration, with clocks and sequence numbers at random. They are drawn apart, so that the other faults of a seed stay as they are.

--- a/crates/cassiarock-transient/tests/host/deregistration.rs
+++ b/crates/cassiarock-transient/tests/host/deregistration.rs
@@ -2,7 +2,6 @@
 
 use crate::harness::Harness;
 use cassiarock_transient::Incarnation;
-use cassiarock_transient::host::StartResponse;
 use cassiarock_transient::message::Outcome;
 
 impl Harness {
@@ -19,19 +18,10 @@
     }
 }
 
-/// An agent whose upstream runs a task.
-fn running() -> Harness {
-    let mut harness = Harness::new();
-    harness.order(1, "j", 1);
-    let (task, _) = harness.starts[0].clone();
-    harness.respond_to_start(&task, StartResponse::Started);
-    harness
-}
-
 // Another sender's deregistration ended all tasks of an upstream that ran on.
 #[test]
 fn a_deregistration_ends_nothing_while_the_upstream_answers() {
-    let mut harness = running();
+    let mut harness = Harness::running();
     let polls = harness.polls;
     harness.deregister();
     assert_eq!(harness.polls, polls + 1);
@@ -43,7 +33,7 @@
 
 #[test]
 fn a_deregistered_upstream_that_accepts_no_connection_has_ended_and_not_crashed() {
-    let mut harness = running();
+    let mut harness = Harness::running();
     harness.deregister();
     harness.refuse_connection();
     assert_eq!(harness.outcome_of(1), Some(Outcome::Lost));
@@ -53,7 +43,7 @@
 // A cut may refuse connections while the upstream runs on.
 #[test]
 fn a_refused_connection_alone_ends_nothing() {
-    let mut harness = running();
+    let mut harness = Harness::running();
     harness.refuse_connection();
     assert_eq!(harness.outcome_of(1), None);
     harness.deregister();
@@ -65,7 +55,7 @@
 
 #[test]
 fn the_tasks_of_a_deregistered_upstream_that_falls_silent_have_not_crashed_it() {
-    let mut harness = running();
+    let mut harness = Harness::running();
     harness.observe(&[("j", 1)], &[]);
     harness.deregister();
     harness.advance(1_000);
@@ -74,7 +64,7 @@
 
 #[test]
 fn a_deregistration_of_another_upstream_is_ignored() {
-    let mut harness = running();
+    let mut harness = Harness::running();
     let actions = harness.host.deregister("stranger");
     assert!(actions.is_empty());
     let actions = harness
--- a/crates/cassiarock-transient/tests/host/harness.rs
+++ b/crates/cassiarock-transient/tests/host/harness.rs
@@ -60,6 +60,15 @@
         harness
     }
 
+    /// The same with a running task.
+    pub fn running() -> Self {
+        let mut harness = Self::new();
+        harness.order(1, "j", 1);
+        let (task, _) = harness.starts[0].clone();
+        harness.respond_to_start(&task, StartResponse::Started);
+        harness
+    }
+
     pub fn clock(&self) -> u64 {
         u64::try_from(self.now.as_millis()).unwrap() + self.clock_offset_ms
     }
--- a/crates/cassiarock-transient/tests/host/verification.rs
+++ b/crates/cassiarock-transient/tests/host/verification.rs
@@ -2,22 +2,12 @@
 
 use crate::harness::{Harness, ms};
 use cassiarock_transient::Incarnation;
-use cassiarock_transient::host::StartResponse;
 use cassiarock_transient::message::Outcome;
 
-/// An agent whose upstream runs a task.
-fn running() -> Harness {
-    let mut harness = Harness::new();
-    harness.order(1, "j", 1);
-    let (task, _) = harness.starts[0].clone();
-    harness.respond_to_start(&task, StartResponse::Started);
-    harness
-}
-
 // One report from another sender ended all tasks of an upstream that ran on.
 #[test]
 fn a_report_of_an_unknown_sender_ends_nothing_while_the_upstream_rejects_its_id() {
-    let mut harness = running();
+    let mut harness = Harness::running();
     harness.report_falsely(&Incarnation::new("stranger"), 4);
     assert_eq!(harness.incarnation(), Incarnation::new("u-1"));
     assert_eq!(harness.outcome_of(1), None);
@@ -28,7 +18,7 @@
 // The same with a start time beyond that of the upstream, under its id.
 #[test]
 fn a_report_with_a_false_later_start_ends_nothing_while_the_upstream_answers() {
-    let mut harness = running();
+    let mut harness = Harness::running();
     let known = Incarnation::new("u-1").with_started_at(Some(1_000));
     harness.report_incarnation(&known, 2);
     harness.report_falsely(&known.clone().with_started_at(Some(2_000)), 1);
@@ -40,7 +30,7 @@
 // The verification was rejected by the upstream that is there, and its report never came again.
 #[test]
 fn a_rejected_report_is_not_polled_for_again() {
-    let mut harness = running();
+    let mut harness = Harness::running();
     harness.report_falsely(&Incarnation::new("stranger"), 4);
     let polls = harness.polls;
     harness.advance(500);
@@ -50,7 +40,7 @@
 // The former incarnation hung with its connections open, and regular polls waited for it.
 #[test]
 fn the_answer_of_a_new_incarnation_ends_a_silent_one_at_once() {
-    let mut harness = running();
+    let mut harness = Harness::running();
     harness.advance(100);
     harness.report("u-2", 1);
     assert_eq!(harness.outcome_of(1), Some(Outcome::Crashed));
@@ -63,7 +53,7 @@
 // heartbeat away.
 #[test]
 fn an_unanswered_verification_is_repeated() {
-    let mut harness = running();
+    let mut harness = Harness::running();
     harness.is_silent = true;
     harness.report("u-2", 1);
     assert!(harness.host.next_poll(harness.now) <= harness.now + ms(20));
@@ -76,7 +66,7 @@
 // The response to a poll from before the report is on its way when the upstream is replaced.
 #[test]
 fn a_response_to_an_earlier_poll_refutes_no_report() {
-    let mut harness = running();
+    let mut harness = Harness::running();
     let (asked, former) = (harness.now, harness.incarnation());
     harness.now += ms(10);
     harness.is_silent = true;
@@ -90,7 +80,7 @@
 // A new incarnation that had seen a higher fence rejected each verification.
 #[test]
 fn a_rejected_fence_is_raised_for_a_verification() {
-    let mut harness = running();
+    let mut harness = Harness::running();
     harness.is_silent = true;
     harness.report("u-2", 1);
     let fence = harness.host.fence();
--- a/tests/platform/false_reports.rs
+++ b/tests/platform/false_reports.rs
@@ -2,9 +2,14 @@
 
 use crate::job::{PATIENCE, completed, hand_in, submit};
 use crate::site::{Site, body};
+use rand::RngExt;
+use rand::rngs::StdRng;
 use serde_json::{Value, json};
 use std::time::{Duration, Instant};
 
+/// How long an agent, which may be down, has to answer a report.
+const ANSWER: Duration = Duration::from_millis(100);
+
 /// A report with all its fields.
 fn report() -> Value {
     json!({
@@ -22,6 +27,35 @@
     }
 }
 
+/// Sends an agent a report or a deregistration that is not from its upstream. Says which.
+pub async fn send_one(site: &Site, rng: &mut StdRng) -> String {
+    let number = rng.random_range(0..site.agents.len());
+    let agent = &site.agents[number];
+    let kind = rng.random_range(0..5);
+    let mut false_report = report();
+    false_report["clockMs"] = json!(rng.random_range(0..20_000));
+    false_report["sequence"] = json!(rng.random_range(0..1_000_000));
+    let id = match kind {
+        0 => format!("stranger-{}", rng.random_range(0..3)),
+        1 => format!("u-{number}-{}", rng.random_range(0..4)),
+        _ => agent.upstream_id(),
+    };
+    match kind {
+        2 => false_report["service"] = json!("other-tasks"),
+        3 => false_report["born"] = json!(rng.random_range(0..4_000_000_000_000_u64)),
+        _ => {}
+    }
+    let url = agent.reports(&id);
+    let call = if kind == 4 {
+        site.client.delete(url)
+    } else {
+        site.client.put(url).json(&false_report)
+    };
+    let answer = call.timeout(ANSWER).send().await;
+    let status = answer.map(|answer| answer.status().as_u16());
+    format!("false report {kind} of {id} at agent {number}: {status:?}")
+}
+
 async fn until_begun(site: &Site, id: &str) {
     let until = Instant::now() + PATIENCE;
     while !site.witness.has_begun(id) {
--- a/tests/platform/site.rs
+++ b/tests/platform/site.rs
@@ -397,7 +397,7 @@
     /// The same under the id that it had.
     pub fn revive_under_its_id(&mut self, witness: Witness) {
         self.upstream = None;
-        let name = format!("{}-{}", self.name.replace("agent", "u"), self.lives);
+        let name = self.upstream_id();
         let reports = SocketAddr::from((self.ip, self.ports.reports()));
         let address = (self.ip, self.upstream_port);
         let until = Instant::now() + Duration::from_secs(5);
@@ -410,6 +410,11 @@
         }
     }
 
+    /// The id of its upstream, which may be down.
+    pub fn upstream_id(&self) -> String {
+        format!("{}-{}", self.name.replace("agent", "u"), self.lives)
+    }
+
     /// Where its upstream reports.
     pub fn reports(&self, id: &str) -> String {
         let port = self.ports.reports();
--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -2,6 +2,7 @@
 //! see. `SOAK=first..last` plays other seeds; the default ones are a short run for CI.
 //! `SOAK_SIZE=entries,agents` plays them in a larger system.
 
+use crate::false_reports;
 use crate::job::{Reply, submit_at};
 use crate::site::{Site, body};
 use cassiarock_test_support::proxy::{Direction, Fault, Scope};
@@ -129,6 +130,7 @@
     let mut rng = StdRng::seed_from_u64(seed);
     // Drawn apart, so that the other faults of a seed stay as they are.
     let mut notices = StdRng::seed_from_u64(!seed);
+    let mut false_reports = StdRng::seed_from_u64(seed << 32);
     let mut said = Vec::new();
     let end = tokio::time::Instant::now() + FAULTS;
     while tokio::time::Instant::now() < end {
@@ -142,6 +144,7 @@
         }
         if !FOUND.contains(&seed) {
             said.extend(give_notice(site, &mut notices));
+            said.push(false_reports::send_one(site, &mut false_reports).await);
         }
         let pause = Duration::from_millis(rng.random_range(50..900));
         tokio::time::sleep(pause).await;
