Test the replacement of an upstream that hangs with its connections open

The test closed the former incarnation's connections when the next one started, so that its calls failed at once instead of hanging. Now connections are accepted and never answered, and stay open when the next incarnation takes the address.

--- a/tests/platform/false_reports.rs
+++ b/tests/platform/false_reports.rs
@@ -5,7 +5,11 @@
 use rand::RngExt;
 use rand::rngs::StdRng;
 use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinHandle;
 
 /// How long an agent, which may be down, has to answer a report.
 const ANSWER: Duration = Duration::from_millis(100);
@@ -56,6 +60,44 @@
     format!("false report {kind} of {id} at agent {number}: {status:?}")
 }
 
+/// Accepts connections and never answers on them.
+struct Hanging {
+    accepted: Arc<Mutex<Vec<TcpStream>>>,
+    accepting: JoinHandle<()>,
+}
+
+impl Hanging {
+    /// Accepts no more connections. Returns those that are open.
+    async fn stop(self) -> Vec<TcpStream> {
+        self.accepting.abort();
+        assert!(self.accepting.await.is_err(), "it ends by being aborted");
+        std::mem::take(&mut *self.accepted.lock().unwrap())
+    }
+}
+
+async fn hang_at(address: SocketAddr) -> Hanging {
+    let until = Instant::now() + PATIENCE;
+    let listener = loop {
+        match TcpListener::bind(address).await {
+            Ok(listener) => break listener,
+            // The former listener is being closed.
+            Err(error) => assert!(Instant::now() < until, "{error}"),
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    };
+    let accepted = Arc::<Mutex<Vec<TcpStream>>>::default();
+    let streams = accepted.clone();
+    let accepting = tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            streams.lock().unwrap().push(stream);
+        }
+    });
+    Hanging {
+        accepted,
+        accepting,
+    }
+}
+
 async fn until_begun(site: &Site, id: &str) {
     let until = Instant::now() + PATIENCE;
     while !site.witness.has_begun(id) {
@@ -81,13 +123,15 @@
 // The former incarnation hung with its connections open, and calls to the new one waited behind
 // those to the former.
 #[tokio::test]
-async fn an_upstream_that_replaces_a_silent_one_is_used_at_once() {
+async fn an_upstream_that_replaces_a_hanging_one_is_used_at_once() {
     let mut site = Site::start(1, 1).await;
     let first = submit(&site.entries[0], "00000000000000f9", &body(4, 20), PATIENCE).await;
     assert_eq!(first, completed());
-    let silent = site.agents[0].upstream.as_ref().unwrap();
-    silent.with_fault(|fault| fault.is_mute = true);
-    tokio::time::sleep(Duration::from_millis(500)).await;
+    let address = site.agents[0].upstream.take().unwrap().address();
+    let hanging = hang_at(address).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let connections = hanging.stop().await;
+    assert!(!connections.is_empty());
     let witness = site.witness.clone();
     site.agents[0].revive(witness);
     let revived = Instant::now();
