--- a/crates/cassiarock-transient/tests/host/main.rs
+++ b/crates/cassiarock-transient/tests/host/main.rs
@@ -4,12 +4,12 @@
 
 mod deregistration;
 mod harness;
-mod impostors;
 mod lifecycle;
 mod notices;
 mod orders;
 mod plausibility;
 mod polls;
+mod random_messages;
 mod restarts;
 mod room;
 mod shrink;
