Let the soak's callers keep their connections open

Each job came over a client of its own, so that no caller ever used a connection that an entry was about to close. Each caller now has one client for all its jobs, until the entry is gone. The promises checked are the same.

--- a/tests/platform/job.rs
+++ b/tests/platform/job.rs
@@ -36,7 +36,21 @@
 
 /// The same as [`submit`] at an address.
 pub async fn submit_at(url: &str, id: &str, body: &Value, patience: Duration) -> Reply {
-    let client = reqwest::Client::builder().no_proxy().build().unwrap();
+    submit_with(&client(), url, id, body, patience).await
+}
+
+pub fn client() -> reqwest::Client {
+    reqwest::Client::builder().no_proxy().build().unwrap()
+}
+
+/// The same as [`submit_at`] over the open connections of a client.
+pub async fn submit_with(
+    client: &reqwest::Client,
+    url: &str,
+    id: &str,
+    body: &Value,
+    patience: Duration,
+) -> Reply {
     let call = client
         .post(url)
         .header("host", "queue.example")
--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -3,7 +3,7 @@
 //! `SOAK_SIZE=entries,agents` plays them in a larger system.
 
 use crate::false_reports;
-use crate::job::{Reply, submit_at};
+use crate::job::{Reply, client, submit_with};
 use crate::site::{Site, body};
 use cassiarock_test_support::proxy::{Direction, Fault, Scope};
 use cassiarock_transient::roster::LINKS_PER_AGENT;
@@ -86,7 +86,8 @@
     check(seed, &site, &replies, &trouble);
 }
 
-/// Submits one job after the other until the end, each until it has an answer.
+/// Submits one job after the other until the end, each until it has an answer. Connections stay in use
+/// until the entry is gone.
 async fn call(
     seed: u64,
     caller: u64,
@@ -95,6 +96,7 @@
     until: tokio::time::Instant,
 ) {
     let mut rng = StdRng::seed_from_u64(seed * 1_000 + caller);
+    let client = client();
     let mut number = 0;
     while tokio::time::Instant::now() < until {
         number += 1;
@@ -104,7 +106,7 @@
         for _ in 0..3 {
             let url = &urls[rng.random_range(0..urls.len())];
             let patience = Duration::from_millis(rng.random_range(1_500..3_000));
-            let reply = submit_at(&format!("{url}{id}"), &id, &job, patience).await;
+            let reply = submit_with(&client, &format!("{url}{id}"), &id, &job, patience).await;
             let is_final = !matches!(reply, Reply::Nothing | Reply::Status(502 | 504));
             let tagged = match &reply {
                 Reply::State(state) => Reply::State(format!("{state} {tasks}")),
