Write the meaning of a poll's answer once, and drop what the change left unused

The poll that proves a report and the regular polls each decided what an answer means to the agent; one function does now. Incarnation::started_before had no caller left since reports of earlier starts are proven by a poll like all others.

--- a/crates/cassiarock-dispatch/src/orders.rs
+++ b/crates/cassiarock-dispatch/src/orders.rs
@@ -1,10 +1,11 @@
 //! Sends orders to the upstream and polls it.
 
 use crate::agent::{Input, PollRequest};
-use cassiarock_adapter::UpstreamClient;
 use cassiarock_adapter::worker::{CallError, MAX_CONNECTIONS, Target};
+use cassiarock_adapter::{Error, UpstreamClient};
 use cassiarock_id::Name;
-use cassiarock_transient::host::{StartResponse, Task, poll_backoff};
+use cassiarock_transient::Incarnation;
+use cassiarock_transient::host::{Snapshot, StartResponse, Task, poll_backoff};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -131,11 +132,9 @@
         let this = self.clone();
         tokio::spawn(async move {
             let answer = this.client.verify(&target, this.timeout(), asked).await;
-            let input = match answer {
-                Ok(snapshot) => Input::Snapshot(snapshot),
-                Err(CallError::OtherIncarnation) => Input::Replaced(target.incarnation),
-                Err(CallError::Fenced) => Input::Fenced(target.incarnation),
-                Err(CallError::Failed(error)) => {
+            let input = match poll_input(&target.incarnation, answer) {
+                Ok(input) => input,
+                Err(error) => {
                     // The host repeats the poll.
                     log::warn!(upstream:% = target.incarnation; "{error}");
                     return;
@@ -196,16 +195,15 @@
             .client
             .poll(&target, seen, until, wait, self.timeout(), asked)
             .await;
-        let (is_answered, input) = match snapshot {
-            Ok(snapshot) => (true, Input::Snapshot(snapshot)),
-            Err(CallError::OtherIncarnation) => (false, Input::Replaced(target.incarnation)),
-            Err(CallError::Fenced) => (false, Input::Fenced(target.incarnation)),
-            Err(CallError::Failed(error)) => {
+        let is_answered = snapshot.is_ok();
+        let input = match poll_input(&target.incarnation, snapshot) {
+            Ok(input) => input,
+            Err(error) => {
                 log::warn!(dependency = "upstream"; "lost: {error}");
                 if !error.is_refused_connection() {
                     return false;
                 }
-                (false, Input::Unreachable(target.incarnation))
+                Input::Unreachable(target.incarnation)
             }
         };
         // Fails only if the actor has ended.
@@ -213,3 +211,16 @@
         is_answered
     }
 }
+
+/// What the answer to a poll of an incarnation means to the agent; the error if there was none.
+fn poll_input(
+    incarnation: &Incarnation,
+    answer: Result<Snapshot, CallError>,
+) -> Result<Input, Error> {
+    match answer {
+        Ok(snapshot) => Ok(Input::Snapshot(snapshot)),
+        Err(CallError::OtherIncarnation) => Ok(Input::Replaced(incarnation.clone())),
+        Err(CallError::Fenced) => Ok(Input::Fenced(incarnation.clone())),
+        Err(CallError::Failed(error)) => Err(error),
+    }
+}
--- a/crates/cassiarock-transient/src/host/mod.rs
+++ b/crates/cassiarock-transient/src/host/mod.rs
@@ -65,7 +65,7 @@
 pub struct Host {
     /// The upstream's current incarnation, as last reported.
     worker: Option<Worker>,
-    /// The report of another incarnation that a poll has yet to prove.
+    /// The report that a poll has yet to prove, of another incarnation or of the present one.
     candidate: Option<Candidate>,
     /// The last report of the present incarnation that contradicts the ones before it.
     questioned: Option<Worker>,
--- a/crates/cassiarock-transient/src/incarnation.rs
+++ b/crates/cassiarock-transient/src/incarnation.rs
@@ -47,12 +47,6 @@
         self.id != other.id
             || matches!((self.started_at, other.started_at), (Some(a), Some(b)) if a != b)
     }
-
-    /// Whether this incarnation started before `other`; false if either start time is unknown.
-    #[must_use]
-    pub fn started_before(&self, other: &Self) -> bool {
-        matches!((self.started_at, other.started_at), (Some(own), Some(other)) if own < other)
-    }
 }
 
 impl fmt::Display for Incarnation {
--- a/crates/cassiarock-transient/tests/host/plausibility.rs
+++ b/crates/cassiarock-transient/tests/host/plausibility.rs
@@ -22,6 +22,11 @@
         self.host.worker().map_or("", |worker| &worker.service)
     }
 
+    fn is_leaving(&self) -> bool {
+        let worker = self.host.worker();
+        worker.is_some_and(|worker| worker.is_leaving)
+    }
+
     fn cpu(&self) -> u64 {
         self.host.worker().map_or(0, |worker| worker.capacity.cpu)
     }
@@ -89,12 +94,7 @@
     assert_eq!(harness.polls, polls + 1, "its clock is read once more");
     harness.advance(500);
     harness.report_changed(|worker| worker.is_leaving = true);
-    assert!(
-        harness
-            .host
-            .worker()
-            .is_some_and(|worker| worker.is_leaving)
-    );
+    assert!(harness.is_leaving());
 }
 
 // An agent woke up late: what it estimated of the clock was behind the upstream's own report, which
@@ -104,12 +104,7 @@
     let mut harness = Harness::new();
     harness.clock_offset_ms += 2_000;
     harness.report_changed(|worker| worker.is_leaving = true);
-    assert!(
-        harness
-            .host
-            .worker()
-            .is_some_and(|worker| worker.is_leaving)
-    );
+    assert!(harness.is_leaving());
     harness.order(1, "j", 1);
     assert_eq!(harness.outcome_of(1), Some(Outcome::Closed));
 }
--- a/tests/platform/failures.rs
+++ b/tests/platform/failures.rs
@@ -8,7 +8,8 @@
 /// A caller submits again this long after its connection broke.
 const AGAIN: Duration = Duration::from_millis(1_300);
 
-async fn begun(site: &Site, id: &str) {
+/// Waits until some task of the job has begun.
+pub async fn begun(site: &Site, id: &str) {
     let until = Instant::now() + PATIENCE;
     while !site.witness.has_begun(id) {
         assert!(Instant::now() < until);
--- a/tests/platform/false_reports.rs
+++ b/tests/platform/false_reports.rs
@@ -1,5 +1,6 @@
 //! Reports that are not from the upstream, with real processes.
 
+use crate::failures::begun;
 use crate::job::{PATIENCE, completed, hand_in, submit};
 use crate::site::{Site, body};
 use rand::RngExt;
@@ -98,12 +99,9 @@
     }
 }
 
-async fn until_begun(site: &Site, id: &str) {
-    let until = Instant::now() + PATIENCE;
-    while !site.witness.has_begun(id) {
-        assert!(Instant::now() < until);
-        tokio::time::sleep(Duration::from_millis(2)).await;
-    }
+/// Waits until the job runs, so that its agents know that its tasks have started.
+async fn until_running(site: &Site, id: &str) {
+    begun(site, id).await;
     tokio::time::sleep(Duration::from_millis(100)).await;
 }
 
@@ -114,7 +112,7 @@
     let site = Site::start(1, 3).await;
     let id = "00000000000000f8";
     let job = hand_in(&site.entries[0], id, body(12, 900), PATIENCE);
-    until_begun(&site, id).await;
+    until_running(&site, id).await;
     report_to_all(&site, |_| "i-0fe1d3c2".to_owned(), &report()).await;
     assert_eq!(job.await.unwrap(), completed());
     assert_eq!(site.witness.runs().len(), 12, "{:?}", site.witness.runs());
@@ -179,7 +177,7 @@
     let site = Site::start(1, 3).await;
     let id = "00000000000000fd";
     let job = hand_in(&site.entries[0], id, body(12, 900), PATIENCE);
-    until_begun(&site, id).await;
+    until_running(&site, id).await;
     for agent in &site.agents {
         let upstream = agent.upstream.as_ref().unwrap();
         upstream.with_fault(|fault| fault.is_leaving = true);
@@ -198,7 +196,7 @@
     let mut site = Site::start(1, 2).await;
     let id = "00000000000000fe";
     let job = hand_in(&site.entries[0], id, body(8, 900), PATIENCE);
-    until_begun(&site, id).await;
+    until_running(&site, id).await;
     let leaving = site.agents[0].upstream.as_ref().unwrap();
     leaving.with_fault(|fault| fault.is_leaving = true);
     tokio::time::sleep(Duration::from_millis(400)).await;
