--- /dev/null
+++ b/review/stand-2/src/scenario/mod.rs
@@ -0,0 +1,20 @@
+//! The scenarios, one for each case that has a script.
+
+mod agent_killed;
+mod cancel;
+mod entry_killed;
+mod job;
+
+use crate::{Context, Verdict};
+use std::io;
+
+pub type Play = fn(&Context) -> io::Result<Verdict>;
+
+pub fn find(name: &str) -> Option<Play> {
+    match name {
+        "agent-killed" => Some(agent_killed::play),
+        "cancel" => Some(cancel::play),
+        "entry-killed" => Some(entry_killed::play),
+        _ => None,
+    }
+}
