--- a/review/stand-2/src/scenario/job.rs
+++ b/review/stand-2/src/scenario/job.rs
@@ -98,6 +98,11 @@
     Ok(())
 }
 
+/// Whether any task has run twice at the same time so far.
+pub fn has_run_twice(record: &Record) -> bool {
+    !record.twice(SLACK_MS).is_empty()
+}
+
 /// Whether any task ran twice at the same time; says which, longest first.
 pub fn ran_twice(record: &Record) -> bool {
     let mut twice = record.twice(SLACK_MS);
--- a/review/stand-2/src/scenario/mod.rs
+++ b/review/stand-2/src/scenario/mod.rs
@@ -1,6 +1,7 @@
 //! The scenarios, one for each case that has a script.
 
 mod agent_killed;
+mod agents_frozen;
 mod cancel;
 mod entry_killed;
 mod job;
@@ -13,6 +14,7 @@
 pub fn find(name: &str) -> Option<Play> {
     match name {
         "agent-killed" => Some(agent_killed::play),
+        "agents-frozen" => Some(agents_frozen::play),
         "cancel" => Some(cancel::play),
         "entry-killed" => Some(entry_killed::play),
         _ => None,
