--- a/review/stand-2/src/scenario/job.rs
+++ b/review/stand-2/src/scenario/job.rs
@@ -13,6 +13,9 @@
 /// How long the callers here wait for an answer.
 const PATIENCE: Duration = Duration::from_secs(25);
 
+/// How much longer than its time limit a caller waits for the answer that the limit has passed.
+const ANSWER_SLACK: Duration = Duration::from_millis(200);
+
 /// Runs of one task overlap only if they do so for longer than this, in ms: the stand-ins note
 /// begins and ends to the millisecond.
 const SLACK_MS: u64 = 5;
@@ -58,19 +61,30 @@
     entry: &Entry,
     id: &'static str,
     body: String,
+) -> JoinHandle<Option<u16>> {
+    submit_for(record, entry, id, body, PATIENCE)
+}
+
+/// Submits a job of a caller that waits for `patience`.
+pub fn submit_for(
+    record: &Record,
+    entry: &Entry,
+    id: &'static str,
+    body: String,
+    patience: Duration,
 ) -> JoinHandle<Option<u16>> {
     let (record, to) = (record.clone(), entry.address());
     let name = entry.name().to_owned();
     spawn(move || {
         let path = format!("{PREFIX}{id}");
         record.print(format!("sent POST {path} to {name} at {to}: {body}"));
-        let patience = PATIENCE.as_millis().to_string();
+        let deadline = patience.as_millis().to_string();
         let headers = [
             ("host", HOST),
-            ("deadline-ms", &*patience),
+            ("deadline-ms", &*deadline),
             ("request-id", "r-1"),
         ];
-        let answer = http::call(to, "POST", &path, &headers, &body, PATIENCE);
+        let answer = http::call(to, "POST", &path, &headers, &body, patience + ANSWER_SLACK);
         record.print(format!("answer to POST {path} from {name}: {answer:?}"));
         answer.ok().map(|(status, _)| status)
     })
--- a/review/stand-2/src/scenario/mod.rs
+++ b/review/stand-2/src/scenario/mod.rs
@@ -5,6 +5,8 @@
 mod cancel;
 mod entry_killed;
 mod job;
+mod stops_unanswered;
+mod traffic;
 
 use crate::{Context, Verdict};
 use std::io;
@@ -17,6 +19,7 @@
         "agents-frozen" => Some(agents_frozen::play),
         "cancel" => Some(cancel::play),
         "entry-killed" => Some(entry_killed::play),
+        "stops-unanswered" => Some(stops_unanswered::play),
         _ => None,
     }
 }
--- a/review/stand-2/src/site.rs
+++ b/review/stand-2/src/site.rs
@@ -4,7 +4,7 @@
 use crate::http;
 use crate::record::Record;
 use crate::store::Store;
-use crate::upstream::{Demands, Kind, Upstream};
+use crate::upstream::{Demands, Kind, Orders, Upstream};
 use std::fs::{self, File};
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
@@ -293,6 +293,7 @@
 /// The upstreams of a small deployment: eleven of 64 cores and 128 GB in three zones, three a rack,
 /// two kinds. A stop takes them `stop`.
 pub fn small_upstreams(stop: Duration) -> Vec<Kind> {
+    let orders = Orders::default();
     let kind = |number: usize| Kind {
         service: SERVICE.to_owned(),
         zone: zone(number),
@@ -303,6 +304,7 @@
         cpu: 64_000,
         mem_mb: 131_072,
         stop,
+        orders: orders.clone(),
     };
     (0..11).map(kind).collect()
 }
--- a/review/stand-2/src/upstream.rs
+++ b/review/stand-2/src/upstream.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -26,8 +27,22 @@
     pub mem_mb: u64,
     /// How long a stop takes; it is answered when the run has ended. At most `stopMs`.
     pub stop: Duration,
+    pub orders: Orders,
 }
 
+/// The orders to all upstreams, and whether they leave stops unanswered.
+#[derive(Clone, Debug, Default)]
+pub struct Orders {
+    /// Stops get no answer while it is set, and are carried out `LATE` after they came.
+    pub are_stops_late: Arc<AtomicBool>,
+    /// How many orders came, and how many of them got no answer, while stops were late.
+    pub all: Arc<AtomicU64>,
+    pub unanswered: Arc<AtomicU64>,
+}
+
+/// How late an unanswered order is carried out; the pages name 2 to 12 s.
+const LATE: Duration = Duration::from_secs(2);
+
 #[derive(Debug)]
 struct Running {
     attempt: u64,
@@ -189,7 +204,30 @@
         (format!("/v1/instances/{}", state.id), body)
     }
 
-    fn answer(&self, request: &Request) -> Answer {
+    /// Counts an order while stops are late, and returns whether they are.
+    fn count_order(&self) -> bool {
+        let orders = &self.kind.orders;
+        let are_late = orders.are_stops_late.load(Ordering::Relaxed);
+        orders.all.fetch_add(u64::from(are_late), Ordering::Relaxed);
+        are_late
+    }
+
+    /// Carries a stop out late and does not answer it.
+    fn stop_late(self: &Arc<Self>, body: Value) -> Answer {
+        self.kind.orders.unanswered.fetch_add(1, Ordering::Relaxed);
+        self.record.say(format!(
+            "stop of {} gets no answer",
+            body.get("task").text()
+        ));
+        let this = self.clone();
+        std::thread::spawn(move || {
+            std::thread::sleep(LATE);
+            this.stop(&body);
+        });
+        Answer::Silence
+    }
+
+    fn answer(self: &Arc<Self>, request: &Request) -> Answer {
         {
             let state = self.lock();
             if !state.is_alive {
@@ -207,7 +245,11 @@
             return Answer::json(400, "{}");
         };
         match request.path.as_str() {
-            "/v1/run-start" => self.start(&body),
+            "/v1/run-start" => {
+                self.count_order();
+                self.start(&body)
+            }
+            "/v1/run-stop" if self.count_order() => self.stop_late(body),
             "/v1/run-stop" => self.stop(&body),
             "/v1/hold" => self.hold(&body),
             _ => Answer::json(404, "{}"),
