--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -5,4 +5,4 @@
 play=../stand-2/target/release/stand-2
 daemon=../../target/release/cassiarockd
 [ -x "$play" ] && [ -x "$daemon" ] || { echo "build the deploy file and run review/build-2.sh first"; exit 2; }
-exec "$play" entry-killed "$daemon" record.txt
+exec "$play" quick-restart "$daemon" record.txt
--- a/review/stand-2/src/http.rs
+++ b/review/stand-2/src/http.rs
@@ -1,8 +1,10 @@
 //! A small HTTP/1.1 server and client over blocking sockets.
 
+use std::collections::HashMap;
 use std::io::{self, BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 /// A request that has been read.
@@ -42,18 +44,69 @@
     }
 }
 
+/// The open connections of a server, to break them as the end of its process does.
+#[derive(Clone, Default)]
+pub struct Connections {
+    open: Arc<Mutex<HashMap<u64, TcpStream>>>,
+    count: Arc<AtomicU64>,
+    /// Whether new connections are closed at once.
+    is_down: Arc<AtomicBool>,
+}
+
+impl Connections {
+    /// Closes all connections, and new ones until `accept` is called.
+    pub fn close(&self) {
+        self.is_down.store(true, Ordering::SeqCst);
+        for (_, stream) in self.open.lock().unwrap().drain() {
+            // It may have ended by itself.
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
+    pub fn accept(&self) {
+        self.is_down.store(false, Ordering::SeqCst);
+    }
+
+    /// Adds a connection and returns its number; `None` if it is not to be served.
+    fn add(&self, stream: &TcpStream) -> Option<u64> {
+        let number = self.count.fetch_add(1, Ordering::SeqCst);
+        let copy = stream.try_clone().ok()?;
+        let mut open = self.open.lock().unwrap();
+        if self.is_down.load(Ordering::SeqCst) {
+            return None;
+        }
+        open.insert(number, copy);
+        Some(number)
+    }
+
+    fn remove(&self, number: u64) {
+        self.open.lock().unwrap().remove(&number);
+    }
+}
+
 /// Serves requests, one thread for each connection.
-pub fn serve(listener: TcpListener, handler: impl Fn(&Request) -> Answer + Send + Sync + 'static) {
+pub fn serve(
+    listener: TcpListener,
+    handler: impl Fn(&Request) -> Answer + Send + Sync + 'static,
+) -> Connections {
     let handler = Arc::new(handler);
+    let connections = Connections::default();
+    let accepted = connections.clone();
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
+            let Some(number) = accepted.add(&stream) else {
+                continue;
+            };
+            let accepted = accepted.clone();
             let handler = handler.clone();
             std::thread::spawn(move || {
                 // The peer may close at any time.
                 let _ = handle(stream, &*handler);
+                accepted.remove(number);
             });
         }
     });
+    connections
 }
 
 fn handle(stream: TcpStream, handler: &dyn Fn(&Request) -> Answer) -> io::Result<()> {
--- a/review/stand-2/src/scenario/mod.rs
+++ b/review/stand-2/src/scenario/mod.rs
@@ -3,8 +3,8 @@
 mod agent_killed;
 mod agents_frozen;
 mod cancel;
-mod entry_killed;
 mod job;
+mod quick_restart;
 mod stops_unanswered;
 mod traffic;
 
@@ -18,7 +18,7 @@
         "agent-killed" => Some(agent_killed::play),
         "agents-frozen" => Some(agents_frozen::play),
         "cancel" => Some(cancel::play),
-        "entry-killed" => Some(entry_killed::play),
+        "quick-restart" => Some(quick_restart::play),
         "stops-unanswered" => Some(stops_unanswered::play),
         _ => None,
     }
--- a/review/stand-2/src/site.rs
+++ b/review/stand-2/src/site.rs
@@ -293,6 +293,11 @@
 /// The upstreams of a small deployment: eleven of 64 cores and 128 GB in three zones, three a rack,
 /// two kinds. A stop takes them `stop`.
 pub fn small_upstreams(stop: Duration) -> Vec<Kind> {
+    upstreams(64_000, 131_072, stop)
+}
+
+/// Eleven upstreams of this size.
+pub fn upstreams(cpu: u64, mem_mb: u64, stop: Duration) -> Vec<Kind> {
     let orders = Orders::default();
     let kind = |number: usize| Kind {
         service: SERVICE.to_owned(),
@@ -301,8 +306,8 @@
             if number % 3 == 2 { "b" } else { "a" }.to_owned(),
             format!("r1-{}", number / 3 + 1),
         ],
-        cpu: 64_000,
-        mem_mb: 131_072,
+        cpu,
+        mem_mb,
         stop,
         orders: orders.clone(),
     };
--- a/review/stand-2/src/upstream.rs
+++ b/review/stand-2/src/upstream.rs
@@ -1,6 +1,6 @@
 //! An upstream ("minion") that follows PROTOCOL.md: reports, starts, stops, leases, lists of runs.
 
-use crate::http::{self, Answer, Request};
+use crate::http::{self, Answer, Connections, Request};
 use crate::json::{self, Value};
 use crate::record::{Record, Run};
 use std::collections::BTreeMap;
@@ -87,6 +87,7 @@
     address: SocketAddr,
     reports: SocketAddr,
     current: Arc<Mutex<Arc<Shared>>>,
+    connections: Connections,
 }
 
 impl Upstream {
@@ -101,17 +102,19 @@
     ) -> io::Result<Self> {
         let listener = TcpListener::bind(address)?;
         let shared = Shared::new(id, kind, record.clone(), demands.clone());
+        let current = Arc::new(Mutex::new(shared));
+        let served = current.clone();
+        let connections = http::serve(listener, move |request| {
+            let shared = served.lock().unwrap().clone();
+            shared.answer(request)
+        });
         let upstream = Self {
             address,
             reports,
-            current: Arc::new(Mutex::new(shared)),
+            current,
+            connections,
         };
-        let served = upstream.clone();
-        http::serve(listener, move |request| {
-            let shared = served.current();
-            shared.answer(request)
-        });
-        upstream.run();
+        upstream.run(Duration::ZERO);
         Ok(upstream)
     }
 
@@ -119,8 +122,42 @@
         self.current.lock().unwrap().clone()
     }
 
-    /// Reports and ends runs until this life is over.
-    fn run(&self) {
+    /// Crashes it: its connections break, and all that runs there ends.
+    pub fn crash(&self) {
+        let shared = self.current();
+        let mut state = shared.lock();
+        shared.record.say(format!("upstream {} crashes", state.id));
+        state.is_alive = false;
+        for (_, run) in std::mem::take(&mut state.running) {
+            shared.record.end(run.number, "crashed");
+        }
+        drop(state);
+        shared.changed.notify_all();
+        self.connections.close();
+    }
+
+    /// Starts it again under its id, without memory of its former life. It reports for the first time
+    /// after `pause`.
+    pub fn restart(&self, pause: Duration) {
+        let former = self.current();
+        let id = former.lock().id.clone();
+        former.record.say(format!(
+            "upstream {id} starts again, first report in {} ms",
+            pause.as_millis()
+        ));
+        let shared = Shared::new(
+            &id,
+            former.kind.clone(),
+            former.record.clone(),
+            former.demands.clone(),
+        );
+        *self.current.lock().unwrap() = shared;
+        self.connections.accept();
+        self.run(pause);
+    }
+
+    /// Reports, for the first time after `pause`, and ends runs until this life is over.
+    fn run(&self, pause: Duration) {
         let shared = self.current();
         let ticked = shared.clone();
         std::thread::spawn(move || {
@@ -131,6 +168,7 @@
         });
         let (address, reports) = (self.address, self.reports);
         std::thread::spawn(move || {
+            std::thread::sleep(pause);
             for sequence in 1.. {
                 let (path, body) = shared.report(address, sequence);
                 if !shared.lock().is_alive {
@@ -300,7 +338,7 @@
         }
         let spec = body.get("spec").text();
         let number = self.record.begin(Run {
-            upstream: state.id.clone(),
+            upstream: format!("{}@{}", state.id, state.born % 1_000_000),
             labels: self.kind.labels.clone(),
             task: task.clone(),
             attempt,
