Renew no lease while a task outlasts the contact with its entry

Cause: an entry counts on a task that it gives up ending within RECLAIM_DELAY, by its stop or by its lease. Each answered poll, and each start, renewed the lease of the whole upstream, also for that task.

The six tests of tests/host/renewals.rs failed before (0 of 6 passed on the former source).

Why it works: leases are renewed only while each task is within CONTACT_TIMEOUT of the last echo of its entry, taken before the entry gave it up. 500 + 612 + 100 ms are within the 1,200 ms that entries and callers count on, for any number of tasks.

--- a/crates/cassiarock-dispatch/src/agent.rs
+++ b/crates/cassiarock-dispatch/src/agent.rs
@@ -321,6 +321,8 @@
         let (running, links) = (self.host.attempt_count(), self.links.len());
         let ready = !self.is_upstream_gone();
         metrics::gauge!("cassiarock_tasks_running").set(running as f64);
+        let is_withheld = self.host.is_renewal_withheld();
+        metrics::gauge!("cassiarock_renewal_withheld").set(f64::from(u8::from(is_withheld)));
         self.status.send_if_modified(|status| {
             let before = status.clone();
             status.ready = ready;
--- a/crates/cassiarock-transient/src/host/lease.rs
+++ b/crates/cassiarock-transient/src/host/lease.rs
@@ -58,11 +58,31 @@
 
     /// Renews the leases and returns their expiry on the upstream's clock.
     pub(super) fn renew(&mut self, now: Duration) -> u64 {
-        let until = self.clock(now, 1.0).saturating_add(millis(LEASE));
-        self.latest_expiry = self.latest_expiry.max(until);
+        let until = self.full(now);
+        self.record_request(until);
         until
     }
 
+    /// The expiry of a full lease from now on, on the upstream's clock.
+    pub(super) fn full(&self, now: Duration) -> u64 {
+        self.clock(now, 1.0).saturating_add(millis(LEASE))
+    }
+
+    /// Records that leases until this time on the upstream's clock are asked for.
+    pub(super) fn record_request(&mut self, until: u64) {
+        self.latest_expiry = self.latest_expiry.max(until);
+    }
+
+    /// The latest expiry that was asked for, on the upstream's clock.
+    pub(super) const fn expiry(&self) -> u64 {
+        self.latest_expiry
+    }
+
+    /// How long everything that runs keeps its lease without a renewal.
+    pub(super) fn left(&self, now: Duration) -> Duration {
+        Duration::from_millis(self.latest_expiry.saturating_sub(self.clock(now, 1.0)))
+    }
+
     /// Whether the upstream has not answered for too long.
     pub(super) fn is_silent(&self, now: Duration) -> bool {
         now.saturating_sub(self.last_answer) > SILENCE_TIMEOUT
--- a/crates/cassiarock-transient/src/host/mod.rs
+++ b/crates/cassiarock-transient/src/host/mod.rs
@@ -10,6 +10,7 @@
 mod notice;
 mod offer;
 mod orders;
+mod renewal;
 mod reports;
 mod run;
 mod snapshots;
@@ -93,6 +94,8 @@
     /// Whether a poll has shown that nothing runs on the upstream's current incarnation. Until then
     /// an earlier incarnation of this agent may have tasks on it, so nothing is started.
     is_reconciled: bool,
+    /// Since when leases are not renewed because a task outlasts the contact with its entry.
+    withheld_since: Option<Duration>,
     /// Whether this agent accepts no new work.
     is_leaving: bool,
     /// Whether operators are evacuating the data centre.
@@ -141,6 +144,7 @@
         self.health.set_cold(self.notices.is_cold(now));
         self.stop_abandoned(now, &mut actions);
         self.retry_unconfirmed_stops(now, &mut actions);
+        self.log_renewals(now, &mut actions);
         self.expire_leases(now, &mut actions);
         self.verify_candidate(now, &mut actions);
         for state in self.entries.values_mut() {
--- a/crates/cassiarock-transient/src/host/orders.rs
+++ b/crates/cassiarock-transient/src/host/orders.rs
@@ -32,9 +32,10 @@
         state.record_echo(echo);
         state.serial = serial;
         let age = now.saturating_sub(echo);
+        let until = self.lease_for_starts(now);
         let mut results = Vec::new();
         for order in orders {
-            let rejected = self.start_tasks(entry, &order, age, now, &mut actions);
+            let rejected = self.start_tasks(entry, &order, (age, until), now, &mut actions);
             actions.push(Action::Log(self.order_decision(&order, &rejected, age)));
             results.extend(rejected);
         }
@@ -44,12 +45,13 @@
         actions
     }
 
-    /// Starts the tasks of an order and returns the results of those that are rejected.
+    /// Starts the tasks of an order of this age, with a lease until the given time on the upstream's
+    /// clock. Returns the results of those that are rejected.
     fn start_tasks(
         &mut self,
         entry: &Process,
         order: &Order,
-        age: Duration,
+        (age, until): (Duration, Option<u64>),
         now: Duration,
         actions: &mut Vec<Action>,
     ) -> Vec<AttemptResult> {
@@ -59,16 +61,24 @@
                 job: order.job.clone(),
                 attempt: start.of(order.number),
             };
-            if let Some(outcome) = self.rejection(entry, &task, start, age, now, actions) {
-                rejected.push(unstarted_result(task.attempt, outcome));
-                continue;
-            }
-            let run = Run::new(entry.clone(), order.request.clone(), start, now);
+            let until = match (
+                self.rejection(entry, &task, start, age, now, actions),
+                until,
+            ) {
+                (None, Some(until)) => until,
+                (outcome, _) => {
+                    let outcome = outcome.unwrap_or(Outcome::Closed);
+                    rejected.push(unstarted_result(task.attempt, outcome));
+                    continue;
+                }
+            };
+            self.lease.record_request(until);
+            let run = Run::new(entry.clone(), order.request.clone(), start, until, now);
             self.runs.add(task.clone(), run);
             actions.push(Action::Start {
                 task,
                 spec: order.spec.clone(),
-                until: self.lease.renew(now),
+                until,
             });
         }
         rejected
@@ -130,6 +140,7 @@
         let mut actions = Vec::new();
         for attempt in attempts {
             if let Some(task) = self.runs.find(entry, attempt) {
+                self.give_up(&task);
                 self.stop(&task, "nobody waits", now, &mut actions);
             }
         }
@@ -162,6 +173,7 @@
             }
             // The order may still be carried out until its time limit; the stop prevents that.
             StartResponse::NoResponse => {
+                run.was_unanswered = true;
                 self.stop(task, "the start was not answered", now, &mut actions);
                 return actions;
             }
--- a/crates/cassiarock-transient/src/host/run.rs
+++ b/crates/cassiarock-transient/src/host/run.rs
@@ -118,8 +118,14 @@
     pub(super) suspect: Option<Name>,
     pub(super) since: Duration,
     pub(super) phase: Phase,
+    /// The time on the upstream's clock after which its order is void.
+    pub(super) until: u64,
+    /// Whether its start got no answer.
+    pub(super) was_unanswered: bool,
     /// Whether the upstream has listed it as running.
     pub(super) is_listed: bool,
+    /// When its entry was last in contact before it gave the task up; `None` while it waits for it.
+    pub(super) given_up_since: Option<Duration>,
     /// When the upstream confirmed its stop.
     pub(super) stop_confirmed_at: Option<Duration>,
     /// Set if its order was in flight when the upstream restarted, to the time of the restart: the
@@ -128,7 +134,13 @@
 }
 
 impl Run {
-    pub(super) fn new(entry: Process, request: Name, start: &Start, now: Duration) -> Self {
+    pub(super) fn new(
+        entry: Process,
+        request: Name,
+        start: &Start,
+        until: u64,
+        now: Duration,
+    ) -> Self {
         Self {
             entry,
             request,
@@ -137,7 +149,10 @@
             suspect: start.suspect.clone(),
             since: now,
             phase: Phase::Starting,
+            until,
+            was_unanswered: false,
             is_listed: false,
+            given_up_since: None,
             stop_confirmed_at: None,
             in_flight_since: None,
         }
@@ -158,10 +173,13 @@
         }
     }
 
-    /// The time of the confirmed stop or of the upstream's restart. A poll sent later that does not
-    /// list this attempt shows that its order can't be carried out any more.
-    pub(super) fn void_since(&self) -> Option<Duration> {
-        self.stop_confirmed_at.or(self.in_flight_since)
+    /// Whether a poll that does not list this attempt shows that its order can't be carried out any
+    /// more: its stop was confirmed, or the upstream had restarted, before the poll was sent, or its
+    /// time was over by the clock of the answer.
+    pub(super) fn is_void_at(&self, snapshot: &Snapshot) -> bool {
+        let since = self.stop_confirmed_at.or(self.in_flight_since);
+        let is_too_late = self.was_unanswered && !self.is_listed && snapshot.clock > self.until;
+        since.is_some_and(|at| at <= snapshot.asked) || is_too_late
     }
 }
 
--- a/crates/cassiarock-transient/src/host/snapshots.rs
+++ b/crates/cassiarock-transient/src/host/snapshots.rs
@@ -58,14 +58,6 @@
         }
     }
 
-    /// The time on the upstream's clock until which the next poll renews all leases. `None` while
-    /// the upstream does not answer, so that the leases are certain to expire, and before its first
-    /// answer, as the clock of a report may be false.
-    pub fn renew_leases(&mut self, now: Duration) -> Option<u64> {
-        let until = (!self.lease.is_silent(now)).then(|| self.lease.renew(now));
-        until.filter(|_| self.first_clock.is_none())
-    }
-
     /// Handles the response to a poll of the upstream.
     pub fn handle_snapshot(&mut self, snapshot: &Snapshot, now: Duration) -> Vec<Action> {
         let mut actions = Vec::new();
@@ -139,7 +131,7 @@
             .runs
             .iter()
             .filter(|(task, run)| {
-                let is_void = run.void_since().is_some_and(|at| at <= snapshot.asked);
+                let is_void = run.is_void_at(snapshot);
                 let is_listed = snapshot
                     .running
                     .iter()
@@ -167,8 +159,12 @@
         if self.runs.is_empty() || !self.lease.has_lapsed(now) {
             return;
         }
-        let outcome = self.outcome_of_loss();
-        self.lose_all(outcome, "the upstream does not answer", now, actions);
+        let (outcome, reason) = if self.withheld_since.is_some() {
+            (Outcome::Lost, "its leases were not renewed")
+        } else {
+            (self.outcome_of_loss(), "the upstream does not answer")
+        };
+        self.lose_all(outcome, reason, now, actions);
     }
 
     pub(super) fn finish(
--- a/crates/cassiarock-transient/src/host/upstream.rs
+++ b/crates/cassiarock-transient/src/host/upstream.rs
@@ -174,6 +174,7 @@
         let worker = self.worker.as_ref();
         self.is_reconciled
             && !self.lease.is_silent(now)
+            && self.has_lease_for_starts(now)
             && !self.is_closed()
             && worker.is_some_and(|worker| worker.is_present() && !worker.is_leaving)
     }
--- a/crates/cassiarock-transient/tests/host/main.rs
+++ b/crates/cassiarock-transient/tests/host/main.rs
@@ -10,6 +10,7 @@
 mod plausibility;
 mod polls;
 mod random_messages;
+mod renewals;
 mod restarts;
 mod room;
 mod shrink;
