Take an answered start for the former incarnation only once a poll has listed it

Cause: the answer to a start names no incarnation. What the agent ordered before it knew of the restart was begun by the next incarnation, and ended as crashed with the former one.

Why it works: only polls name the incarnation that they speak of. A start that no poll has listed is stopped and ends when a poll with the new fence does not list it; as crashed if it was answered and the new incarnation never had it.

The set-up of tests/host/restarts.rs made its running task by an answered start alone, which does not tell the incarnation. A poll lists it now; the assertions are unchanged.

--- a/crates/cassiarock-transient/src/host/incarnations.rs
+++ b/crates/cassiarock-transient/src/host/incarnations.rs
@@ -3,7 +3,7 @@
 use super::health::Health;
 use super::lease::Lease;
 use super::notice::Notices;
-use super::run::{Run, Snapshot, Task};
+use super::run::Snapshot;
 use super::worker::Worker;
 use super::{Action, Host};
 use crate::message::Outcome;
@@ -15,8 +15,8 @@
 const FENCE_STEP: u64 = 3_600_000;
 
 impl Host {
-    /// Starts a new incarnation. What ran in the previous one has ended, except orders in flight: a
-    /// new incarnation with the same id accepts them too.
+    /// Starts a new incarnation. What polls had listed ran in the previous one and has ended. Of the
+    /// rest, one with the same id may have carried out the orders.
     pub(super) fn begin_incarnation(
         &mut self,
         worker: Worker,
@@ -28,7 +28,7 @@
         let known = self.worker.take();
         let keeps_id = known.as_ref().is_some_and(|known| known.id == worker.id);
         let in_flight = if keeps_id {
-            self.runs.take_unanswered()
+            self.runs.take_unlisted()
         } else {
             Vec::new()
         };
@@ -49,21 +49,18 @@
         self.is_reconciled = false;
         self.health = Health::default();
         self.offer = None;
+        // The new incarnation may have these, or get them yet. Each ends once a response to a poll that
+        // carried the new fence does not list it.
         for (task, run) in in_flight {
-            self.keep_in_flight(task, run, now, actions);
+            self.runs
+                .add(task.clone(), run.into_in_flight(outcome, now));
+            actions.push(Action::Stop(task));
         }
         self.announce_upstream_at(now, actions, reason);
         // Nothing starts before a poll has shown that nothing runs, and regular polls wait for an end.
         actions.push(Action::Poll);
     }
 
-    /// Stops an order that may still reach the new incarnation. It is finished once a response to a
-    /// poll that carried the new fence does not list it.
-    fn keep_in_flight(&mut self, task: Task, run: Run, now: Duration, actions: &mut Vec<Action>) {
-        self.runs.add(task.clone(), run.into_in_flight(now));
-        actions.push(Action::Stop(task));
-    }
-
     /// Whether the response to a poll is from the current incarnation. A response that names
     /// another one shows that the upstream has restarted under its id, unless the poll was sent
     /// before the current incarnation was known.
--- a/crates/cassiarock-transient/src/host/run.rs
+++ b/crates/cassiarock-transient/src/host/run.rs
@@ -107,6 +107,15 @@
     Stopping(Duration),
 }
 
+/// An attempt that an incarnation of the upstream may have started or not.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct InFlight {
+    /// When the upstream restarted.
+    pub(super) since: Duration,
+    /// How it ends if the next incarnation does not have it.
+    pub(super) outcome: Outcome,
+}
+
 /// An attempt on the upstream.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -128,9 +137,9 @@
     pub(super) given_up_since: Option<Duration>,
     /// When the upstream confirmed its stop.
     pub(super) stop_confirmed_at: Option<Duration>,
-    /// Set if its order was in flight when the upstream restarted, to the time of the restart: the
-    /// next incarnation may still carry it out.
-    pub(super) in_flight_since: Option<Duration>,
+    /// Set if no poll had listed it when the upstream restarted: the next incarnation may have
+    /// carried its order out, or may do so yet.
+    pub(super) in_flight: Option<InFlight>,
 }
 
 impl Run {
@@ -154,21 +163,25 @@
             is_listed: false,
             given_up_since: None,
             stop_confirmed_at: None,
-            in_flight_since: None,
+            in_flight: None,
         }
     }
 
-    /// Whether no response has shown that it runs, so that its order may still be carried out.
-    const fn is_unanswered(&self) -> bool {
-        !self.is_listed && !matches!(self.phase, Phase::Running)
-    }
-
-    /// Marks it as an order that a new incarnation of the upstream may still carry out.
-    pub(super) fn into_in_flight(self, now: Duration) -> Self {
+    /// Marks it as one that a new incarnation of the upstream may have started or may still start.
+    /// `outcome` is how it ends if that is not so and its start was answered.
+    pub(super) fn into_in_flight(self, outcome: Outcome, now: Duration) -> Self {
+        let was_answered = matches!(self.phase, Phase::Running);
+        let in_flight = self.in_flight.unwrap_or(InFlight {
+            since: now,
+            outcome: if was_answered { outcome } else { Outcome::Lost },
+        });
         Self {
             phase: Phase::Stopping(now),
             stop_confirmed_at: None,
-            in_flight_since: Some(now),
+            in_flight: Some(InFlight {
+                since: now,
+                ..in_flight
+            }),
             ..self
         }
     }
@@ -177,7 +190,8 @@
     /// more: its stop was confirmed, or the upstream had restarted, before the poll was sent, or its
     /// time was over by the clock of the answer.
     pub(super) fn is_void_at(&self, snapshot: &Snapshot) -> bool {
-        let since = self.stop_confirmed_at.or(self.in_flight_since);
+        let restarted_at = self.in_flight.map(|in_flight| in_flight.since);
+        let since = self.stop_confirmed_at.or(restarted_at);
         let is_too_late = self.was_unanswered && !self.is_listed && snapshot.clock > self.until;
         since.is_some_and(|at| at <= snapshot.asked) || is_too_late
     }
@@ -214,11 +228,12 @@
         Some(run)
     }
 
-    /// Removes and returns the attempts whose orders may still be carried out.
-    pub(super) fn take_unanswered(&mut self) -> Vec<(Task, Run)> {
+    /// Removes and returns the attempts that no poll has listed. An answer to a start names no
+    /// incarnation, so that it does not tell which one runs the task.
+    pub(super) fn take_unlisted(&mut self) -> Vec<(Task, Run)> {
         let runs = self.runs.iter();
-        let unanswered = runs.filter(|(_, run)| run.is_unanswered());
-        let tasks: Vec<Task> = unanswered.map(|(task, _)| task.clone()).collect();
+        let unlisted = runs.filter(|(_, run)| !run.is_listed);
+        let tasks: Vec<Task> = unlisted.map(|(task, _)| task.clone()).collect();
         let taken = tasks.into_iter();
         taken
             .filter_map(|task| Some((task.clone(), self.remove(&task)?)))
--- a/crates/cassiarock-transient/src/host/snapshots.rs
+++ b/crates/cassiarock-transient/src/host/snapshots.rs
@@ -144,8 +144,9 @@
             let Some(run) = self.runs.get(&task) else {
                 continue;
             };
-            let outcome = match (run.in_flight_since, run.is_listed) {
-                (Some(_), _) => Outcome::Lost,
+            let outcome = match (run.in_flight, run.is_listed) {
+                (Some(in_flight), false) => in_flight.outcome,
+                (Some(_), true) => Outcome::Lost,
                 (None, false) => Outcome::Refused,
                 (None, true) => Outcome::Stopped,
             };
--- a/crates/cassiarock-transient/tests/host/restarts.rs
+++ b/crates/cassiarock-transient/tests/host/restarts.rs
@@ -9,8 +9,15 @@
     Incarnation::new("u").with_started_at(Some(at))
 }
 
-/// An agent whose upstream started at 1,000, with one running task.
+/// An agent whose upstream started at 1,000, with one running task, which a poll has listed.
 fn running() -> Harness {
+    let mut harness = started();
+    harness.observe(&[("j", 1)], &[]);
+    harness
+}
+
+/// The same before a poll has listed the task: its start has been answered.
+fn started() -> Harness {
     let mut harness = Harness::new();
     harness.report_incarnation(&started_at(1_000), 40);
     harness.observe(&[], &[]);
@@ -238,6 +245,31 @@
     assert_eq!(harness.outcome_of(2), None, "it runs on");
 }
 
+// A start that was answered, and that no poll has listed, ran in the former incarnation if the next
+// one does not have it. It may be what crashed the upstream.
+#[test]
+fn an_answered_start_that_the_next_incarnation_does_not_list_has_crashed() {
+    let mut harness = started();
+    harness.report_incarnation(&started_at(2_000), 1);
+    assert_eq!(harness.outcome_of(1), None, "that incarnation may have it");
+    harness.poll_answered(&started_at(2_000), harness.now, 5, &[]);
+    assert_eq!(harness.outcome_of(1), Some(Outcome::Crashed));
+}
+
+// The incarnation that may have the task restarted as well before a poll has shown it.
+#[test]
+fn a_second_restart_leaves_open_which_incarnation_has_an_answered_start() {
+    let mut harness = started();
+    harness.report_incarnation(&started_at(2_000), 1);
+    harness.now += ms(5);
+    harness.poll_answered(&started_at(3_000), harness.now, 5, &[]);
+    assert_eq!(harness.outcome_of(1), None);
+    harness.poll_answered(&started_at(3_000), harness.now, 6, &[("j", 1)]);
+    assert_eq!(harness.outcome_of(1), None, "it runs there");
+    harness.poll_answered(&started_at(3_000), harness.now, 7, &[]);
+    assert_eq!(harness.outcome_of(1), Some(Outcome::Lost));
+}
+
 // The deregistration of a previous incarnation was delayed and came after the next one had started
 // under the same id. The running tasks were given up and started elsewhere while they ran on.
 #[test]
