Renew no lease of tasks that an earlier process of the agent has left

Cause: entries count on the lease of the process that died.

Why it works: leases are renewed only once a poll has shown that nothing is left, and not while anything runs unasked, so the lease of the process that ordered the tasks ends them, however many there are.

--- a/crates/cassiarock-transient/src/host/incarnations.rs
+++ b/crates/cassiarock-transient/src/host/incarnations.rs
@@ -4,6 +4,7 @@
 use super::lease::Lease;
 use super::notice::Notices;
 use super::run::Snapshot;
+use super::strays::Strays;
 use super::worker::Worker;
 use super::{Action, Host};
 use crate::message::Outcome;
@@ -47,6 +48,7 @@
         self.questioned = None;
         self.last_seen_end = 0;
         self.is_reconciled = false;
+        self.strays = Strays::default();
         self.health = Health::default();
         self.offer = None;
         // The new incarnation may have these, or get them yet. Each ends once a response to a poll that
@@ -186,6 +188,7 @@
         }
         self.lose_all(outcome, reason, now, &mut actions);
         self.is_reconciled = false;
+        self.strays = Strays::default();
         self.announce_upstream(&mut actions, reason);
         actions
     }
--- a/crates/cassiarock-transient/src/host/mod.rs
+++ b/crates/cassiarock-transient/src/host/mod.rs
@@ -14,6 +14,7 @@
 mod reports;
 mod run;
 mod snapshots;
+mod strays;
 mod upstream;
 mod worker;
 
@@ -34,6 +35,7 @@
 use run::Runs;
 use std::collections::BTreeMap;
 use std::time::Duration;
+use strays::Strays;
 
 /// An action that the caller has to carry out.
 #[derive(Clone, Debug, PartialEq)]
@@ -72,6 +74,8 @@
     questioned: Option<Worker>,
     /// Attempts that were ordered and have not ended.
     runs: Runs,
+    /// What runs on the upstream without an order of this agent's.
+    strays: Strays,
     /// Entries that are linked or have tasks here.
     entries: BTreeMap<Process, EntryState>,
     /// When the upstream ends and when it is warm, as it has announced.
--- a/crates/cassiarock-transient/src/host/renewal.rs
+++ b/crates/cassiarock-transient/src/host/renewal.rs
@@ -2,8 +2,8 @@
 //!
 //! A lease holds everything that runs on the upstream, also a task that its entry has given up. The
 //! caller of such a task may submit it again, and it may start elsewhere, as soon as the time for
-//! stopping it is over. So leases are renewed only while each task is still in the time in which
-//! this agent may act for its entry. If one outlasts that time, its lease ends within
+//! stopping it is over. So leases are renewed only while each task was ordered by this process, and is
+//! still in the time in which the process may act for its entry. If one outlasts that time, its lease ends within
 //! [`LEASE`](crate::timing::LEASE), whatever became of its stop, and all that runs beside it ends too.
 
 use super::run::{Run, Task};
@@ -19,19 +19,20 @@
 impl Host {
     /// The time on the upstream's clock until which the next poll renews all leases. `None` if they
     /// are not to be renewed: while the upstream does not answer, so that they are certain to expire,
-    /// before its first answer, as the clock of a report may be false, and while a task outlasts the
-    /// contact with its entry.
+    /// before its first answer, as the clock of a report may be false, before a poll has shown that an
+    /// earlier process of this agent has left nothing there, and while a task outlasts its entry.
     pub fn renew_leases(&mut self, now: Duration) -> Option<u64> {
         let may_renew = self.first_clock.is_none()
+            && self.is_reconciled
             && !self.lease.is_silent(now)
-            && self.outlasting_task(now).is_none();
+            && self.hindrance(now).is_none();
         may_renew.then(|| self.lease.renew(now))
     }
 
     /// The time on the upstream's clock until which tasks that start now have their lease. `None` if
     /// it may end before it can be renewed.
     pub(super) fn lease_for_starts(&self, now: Duration) -> Option<u64> {
-        if self.outlasting_task(now).is_none() {
+        if self.hindrance(now).is_none() {
             return Some(self.lease.full(now));
         }
         let suffices = self.lease.left(now) >= MIN_START_LEASE;
@@ -67,15 +68,34 @@
         longest.filter(|(_, contact)| now >= *contact + CONTACT_TIMEOUT)
     }
 
+    /// What keeps leases from being renewed: a task whose lease has to end.
+    fn hindrance(&self, now: Duration) -> Option<Hindrance<'_>> {
+        let stray = self.strays.first();
+        let stray = stray.map(|task| Hindrance {
+            task,
+            reason: "tasks run unasked",
+            last_contact: None,
+        });
+        stray.or_else(|| {
+            let (task, last_contact) = self.outlasting_task(now)?;
+            Some(Hindrance {
+                task,
+                reason: "a task outlasts the contact with its entry",
+                last_contact: Some(last_contact),
+            })
+        })
+    }
+
     /// Logs when leases are no longer renewed, and when they are again.
     pub(super) fn log_renewals(&mut self, now: Duration, actions: &mut Vec<Action>) {
-        let outlasting = self.outlasting_task(now);
-        let decision = match (outlasting, self.withheld_since) {
-            (Some((task, contact)), None) => {
-                Decision::new("renewal withheld", "", task.job.clone())
-                    .with("task", task)
-                    .with("reason", "a task outlasts the contact with its entry")
-                    .with("contact_ms_ago", now.saturating_sub(contact).as_millis())
+        let hindrance = self.hindrance(now);
+        let decision = match (&hindrance, self.withheld_since) {
+            (Some(hindrance), None) => {
+                let contact_age = hindrance.last_contact.map(|at| now.saturating_sub(at));
+                Decision::new("renewal withheld", "", hindrance.task.job.clone())
+                    .with("task", hindrance.task)
+                    .with("reason", hindrance.reason)
+                    .with_millis("contact_ms_ago", contact_age)
                     .with("lease_left_ms", self.lease.left(now).as_millis())
                     .with("tasks", self.runs.len())
             }
@@ -84,13 +104,21 @@
                 .with("tasks", self.runs.len()),
             _ => return,
         };
-        self.withheld_since = outlasting.map(|_| now);
+        self.withheld_since = hindrance.map(|_| now);
         actions.push(Action::Log(decision));
     }
 
-    /// Whether the leases are not renewed since a task outlasts the contact with its entry.
+    /// Whether the leases are not renewed since a task's lease has to end.
     #[must_use]
     pub const fn is_renewal_withheld(&self) -> bool {
         self.withheld_since.is_some()
     }
 }
+
+/// A task that keeps leases from being renewed.
+struct Hindrance<'a> {
+    task: &'a Task,
+    reason: &'static str,
+    /// The last contact with its entry, if it has one.
+    last_contact: Option<Duration>,
+}
--- a/crates/cassiarock-transient/src/host/snapshots.rs
+++ b/crates/cassiarock-transient/src/host/snapshots.rs
@@ -5,6 +5,7 @@
 use crate::Decision;
 use crate::message::{AttemptResult, Message, Outcome};
 use cassiarock_id::Process;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// How long a poll waits for a result. No result arrives while a poll is left unanswered: with
@@ -86,37 +87,27 @@
         actions
     }
 
-    /// Compares what the upstream runs with what was ordered. A task that was not ordered was left
-    /// by an earlier incarnation of this agent, or is an order that the upstream carried out
-    /// seconds late. It is stopped: no entry waits for it, and its entry may have started it
-    /// elsewhere.
+    /// Compares what the upstream runs with what was ordered. A task that was not ordered is stopped.
     pub(super) fn reconcile(
         &mut self,
         snapshot: &Snapshot,
         now: Duration,
         actions: &mut Vec<Action>,
     ) {
+        let mut unknown = BTreeSet::new();
         for (job, attempt) in &snapshot.running {
-            match self.runs.find_by_key(job, attempt) {
-                Some(task) => {
-                    if let Some(run) = self.runs.get_mut(&task) {
-                        run.is_listed = true;
-                        if matches!(run.phase, Phase::Starting) {
-                            run.phase = Phase::Running;
-                        }
-                    }
-                }
-                None => {
-                    let task = Task::from_key(job, attempt);
-                    let decision = Decision::new("stop", "", job.clone())
-                        .with("task", &task)
-                        .with("reason", "it runs unasked")
-                        .failed();
-                    actions.push(Action::Log(decision));
-                    actions.push(Action::Stop(task));
+            let Some(task) = self.runs.find_by_key(job, attempt) else {
+                unknown.insert(Task::from_key(job, attempt));
+                continue;
+            };
+            if let Some(run) = self.runs.get_mut(&task) {
+                run.is_listed = true;
+                if matches!(run.phase, Phase::Starting) {
+                    run.phase = Phase::Running;
                 }
             }
         }
+        self.stop_strays(&unknown, snapshot, now, actions);
         self.finish_unlisted(snapshot, now, actions);
     }
 
--- a/crates/cassiarock-transient/tests/host/renewals.rs
+++ b/crates/cassiarock-transient/tests/host/renewals.rs
@@ -141,3 +141,75 @@
     assert!(harness.clock() > until);
     assert_eq!(harness.outcome_of(1), Some(Outcome::Refused));
 }
+
+/// An agent that has just started, on whose upstream another process of it has left these tasks.
+fn restarted(leftover: &[(&str, u32)]) -> Harness {
+    let mut harness = Harness::new();
+    harness.host = cassiarock_transient::Host::new();
+    harness.report("u-1", 1);
+    harness.observe(leftover, &[]);
+    harness.link(1);
+    harness
+}
+
+// Guards against leases that a restarted agent renews: its entries count on those of the process that
+// died, and had started the tasks elsewhere while they ran on.
+#[test]
+fn a_restarted_agent_renews_no_lease_while_an_earlier_process_has_left_tasks() {
+    let left: Vec<(&str, u32)> = (1..200).map(|attempt| ("left", attempt)).collect();
+    let mut harness = restarted(&left);
+    for _ in 0..50 {
+        harness.now += ms(40);
+        harness.poll();
+        assert_eq!(harness.host.renew_leases(harness.now), None);
+        harness.observe(&left, &[]);
+    }
+    harness.observe(&[], &[]);
+    assert!(harness.host.renew_leases(harness.now).is_some());
+}
+
+// Guards against stops without number: one for each task with each poll took 235 MB.
+#[test]
+fn stops_of_tasks_that_run_unasked_are_ordered_a_few_at_a_time() {
+    let left: Vec<(&str, u32)> = (1..860).map(|attempt| ("left", attempt)).collect();
+    let mut harness = restarted(&left);
+    for _ in 0..25 {
+        harness.now += ms(40);
+        harness.observe(&left, &[]);
+    }
+    assert!(
+        (40..=100).contains(&harness.stops.len()),
+        "{}",
+        harness.stops.len()
+    );
+    let mut stopped = harness.stops.clone();
+    stopped.sort();
+    stopped.dedup();
+    assert_eq!(stopped.len(), harness.stops.len(), "all others first");
+}
+
+// An order that is carried out late runs unasked, on an upstream that is in use.
+#[test]
+fn a_task_that_runs_unasked_keeps_leases_from_being_renewed() {
+    let mut harness = Harness::running();
+    harness.observe(&[("j", 1)], &[]);
+    harness.now += ms(40);
+    harness.observe(&[("j", 1), ("late", 3)], &[]);
+    assert_eq!(harness.host.renew_leases(harness.now), None);
+    let asked = harness.now;
+    harness.now += ms(40);
+    harness.poll_answered(
+        &harness.incarnation(),
+        asked - ms(1),
+        harness.clock(),
+        &[("j", 1)],
+    );
+    assert_eq!(
+        harness.host.renew_leases(harness.now),
+        None,
+        "an older list"
+    );
+    harness.observe(&[("j", 1)], &[]);
+    assert!(harness.host.renew_leases(harness.now).is_some());
+    assert_eq!(harness.outcome_of(1), None);
+}
