Place nothing on a link before its agent has told what it holds

Cause: what an entry ordered between the opening of a link and the agent's list of held attempts was started after the list had been made, counted as lost as it was missing there, and was placed elsewhere at once.

Why it works: no order can cross the list if none is sent before it has come. A late list of an older link is ignored. The harnesses of the tests send the list on each new link, as agents do; their assertions are unchanged.

--- a/crates/cassiarock-dispatch/src/entry/links.rs
+++ b/crates/cassiarock-dispatch/src/entry/links.rs
@@ -36,7 +36,14 @@
                 }
                 Vec::new()
             }
-            // Messages over an older link count as well: two entries that dial each other at once
+            // An agent tells over each link what it holds. A list that an older link brings late does
+            // not know of orders that went over the newest one.
+            Event::Frame(peer, Frame::Transient(Message::Held(_)))
+                if !self.links.is_newest(&peer) =>
+            {
+                Vec::new()
+            }
+            // Other messages over an older link count as well: two entries that dial each other at once
             // may disagree on which link is the newer one. Messages of agents are matched by
             // attempt.
             Event::Frame(peer, Frame::Transient(message)) => {
--- a/crates/cassiarock-transient/src/scheduler/agent.rs
+++ b/crates/cassiarock-transient/src/scheduler/agent.rs
@@ -21,6 +21,8 @@
     pub(super) tenure: Tenure,
     pub(super) load: Load,
     pub(super) is_linked: bool,
+    /// Whether it has told over its present link which tasks it holds.
+    has_told_tasks: bool,
     pub(super) data_centre: Name,
     /// Whether operators are evacuating its data centre.
     pub(super) is_evacuated: bool,
@@ -58,6 +60,7 @@
             tenure: Tenure::default(),
             load: Load::default(),
             is_linked: true,
+            has_told_tasks: false,
             data_centre,
             is_evacuated: false,
             last_heard: now,
@@ -77,6 +80,7 @@
     /// Resets what belongs to a link when a new one opens. Serial numbers of orders start over.
     pub(super) fn link(&mut self, now: Duration) {
         self.is_linked = true;
+        self.has_told_tasks = false;
         self.last_heard = now;
         self.serial = 0;
         self.unacknowledged.clear();
@@ -84,6 +88,11 @@
         self.free = Resources::default();
     }
 
+    /// Records that it has told over its present link which tasks it holds.
+    pub(super) const fn record_told_tasks(&mut self) {
+        self.has_told_tasks = true;
+    }
+
     /// Takes over what the agent says about its upstream.
     pub(super) fn set_upstream(&mut self, upstream: Option<Upstream>, now: Duration) {
         if let Some(present) = &upstream {
@@ -149,6 +158,12 @@
         &self.free
     }
 
+    /// Whether orders may be sent to the agent. One that crosses the agent's list of what it holds
+    /// would be missing there, and count as lost, while it is carried out.
+    pub(super) const fn may_be_ordered(&self) -> bool {
+        self.has_told_tasks
+    }
+
     /// Whether the agent accepts tasks, whatever room it has.
     pub(super) fn is_open(&self, now: Duration) -> bool {
         self.is_linked
--- a/crates/cassiarock-transient/src/scheduler/link.rs
+++ b/crates/cassiarock-transient/src/scheduler/link.rs
@@ -94,7 +94,10 @@
                     self.handle_ending(from, &ending, now, &mut actions);
                 }
             }
-            Message::Held(held) => self.reconcile(from, &held, now, &mut actions),
+            Message::Held(held) => {
+                agent.record_told_tasks();
+                self.reconcile(from, &held, now, &mut actions);
+            }
             Message::Orders { .. }
             | Message::Halt(_)
             | Message::EntryHeartbeat { .. }
--- a/crates/cassiarock-transient/src/scheduler/placement/choose.rs
+++ b/crates/cassiarock-transient/src/scheduler/placement/choose.rs
@@ -111,6 +111,7 @@
 ) -> bool {
     let label = stage.label.as_ref();
     agent.is_open(now)
+        && agent.may_be_ordered()
         && !agent.is_ejected
         && agent.serves(&active.class.service)
         && label.is_none_or(|label| agent.has_label(label))
--- a/crates/cassiarock-transient/tests/extremes.rs
+++ b/crates/cassiarock-transient/tests/extremes.rs
@@ -360,6 +360,7 @@
                 is_leaving: false,
                 ..Upstream::default()
             };
+            entry.receive(number, Message::Held(vec![]));
             entry.receive(number, Message::Upstream(Some(upstream)));
             entry.beat(number);
         }
--- a/crates/cassiarock-transient/tests/scheduler/harness.rs
+++ b/crates/cassiarock-transient/tests/scheduler/harness.rs
@@ -73,6 +73,7 @@
     /// Links an agent with an idle upstream.
     pub fn add_agent(&mut self, agent: Process) {
         self.scheduler.link(&agent, &DATA_CENTRE.into(), self.now);
+        self.deliver(&agent, Message::Held(vec![]));
         let id = format!("u-{}", agent.name);
         self.announce(&agent, &id, false);
     }
--- a/crates/cassiarock-transient/tests/scheduler/losses.rs
+++ b/crates/cassiarock-transient/tests/scheduler/losses.rs
@@ -1,10 +1,10 @@
 //! Agents that are lost or come back, and upstreams that fail or run tasks too long.
 
-use crate::harness::{DATA_CENTRE, Harness, agent, ms};
+use crate::harness::{DATA_CENTRE, Harness, agent, job, ms};
 use cassiarock_transient::message::Outcome;
 use cassiarock_transient::scheduler::Answer;
 use cassiarock_transient::timing::RECLAIM_DELAY;
-use cassiarock_transient::{Message, evacuation};
+use cassiarock_transient::{Message, Resources, evacuation};
 
 // A task ran twice at once: its agent was disconnected, the entry started the task elsewhere at
 // once, and the first upstream continued until its lease expired.
@@ -56,6 +56,27 @@
     harness.end(kept.attempt, Outcome::Done);
 }
 
+// Guards against an order that crosses the list of what the agent holds: it was carried out, and as it was
+// missing in the list, its task was placed elsewhere and ran twice.
+#[test]
+fn nothing_is_placed_on_a_new_link_before_the_agent_has_told_what_it_holds() {
+    let mut harness = Harness::new(1);
+    let agent = agent(0);
+    harness.scheduler.unlink(&agent);
+    harness
+        .scheduler
+        .link(&agent, &DATA_CENTRE.into(), harness.now);
+    let mut job = job(1, 1, 400);
+    job.stages[0].demand = Resources::default();
+    harness.submit_job(1, job, 5_000);
+    assert!(harness.placed.is_empty());
+    harness.deliver(&agent, Message::Held(vec![]));
+    harness.heartbeat_all();
+    harness.poll();
+    assert_eq!(harness.placed.len(), 1);
+    assert_eq!(harness.placed[0].attempt.attempt, 1);
+}
+
 // An entry abandoned a job while the link to its agent was down. The order to stop the task was
 // lost, and the task ran on with nobody waiting for it.
 #[test]
