Conclude from leases only while the upstream does not answer

A task that an upstream has begun after a restart under its id was ended by a lease that this incarnation had never been asked for, 0.1 s after its start became known, and would have been started elsewhere while its stop was not confirmed.

Cause: leases are no longer renewed before a poll has shown that nothing runs, so the agent's latest request lay in the past, while the task's lease is by the former clock, up to the platform's most.

Evidence: a_task_that_the_next_incarnation_has_begun_ends_only_when_polls_show_it failed before.

Why it works: while polls are answered they tell what runs. Silence ends tasks only after the longest lease that the upstream grants, if a poll has found tasks there that this process did not ask a lease for.

--- a/crates/cassiarock-transient/src/host/incarnations.rs
+++ b/crates/cassiarock-transient/src/host/incarnations.rs
@@ -53,6 +53,9 @@
         self.offer = None;
         // The new incarnation may have these, or get them yet. Each ends once a response to a poll that
         // carried the new fence does not list it.
+        if !in_flight.is_empty() {
+            self.lease.record_foreign_lease(self.lease.estimate(now));
+        }
         for (task, run) in in_flight {
             self.runs
                 .add(task.clone(), run.into_in_flight(outcome, now));
--- a/crates/cassiarock-transient/src/host/lease.rs
+++ b/crates/cassiarock-transient/src/host/lease.rs
@@ -15,6 +15,9 @@
 /// four polls in a row, each of which takes 80 ms if unanswered.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(350);
 
+/// The longest lease that an upstream grants, whatever is asked for.
+const MAX_LEASE: Duration = Duration::from_secs(1);
+
 /// The estimate of the upstream's clock, and the lease renewals.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Lease {
@@ -73,6 +76,12 @@
         self.latest_expiry = self.latest_expiry.max(until);
     }
 
+    /// Records that tasks may hold leases that this agent has not asked this incarnation for: orders by
+    /// the clock of the former one, or of an earlier process of the agent.
+    pub(super) fn record_foreign_lease(&mut self, clock: u64) {
+        self.record_request(clock.saturating_add(millis(MAX_LEASE)));
+    }
+
     /// The latest expiry that was asked for, on the upstream's clock.
     pub(super) const fn expiry(&self) -> u64 {
         self.latest_expiry
--- a/crates/cassiarock-transient/src/host/snapshots.rs
+++ b/crates/cassiarock-transient/src/host/snapshots.rs
@@ -67,6 +67,9 @@
         }
         self.check_first_report(snapshot.clock, now, &mut actions);
         self.lease.record_clock(Some(snapshot.clock), now);
+        if !self.is_reconciled && !snapshot.running.is_empty() {
+            self.lease.record_foreign_lease(snapshot.clock);
+        }
         for (number, job, attempt, outcome) in &snapshot.ended {
             if *number <= self.last_seen_end {
                 continue;
@@ -146,9 +149,10 @@
     }
 
     /// Ends all attempts once their leases must have expired: the upstream has not answered, and by
-    /// its own clock it has ended all that ran there.
+    /// its own clock it has ended all that ran there. While it answers, polls tell what has ended.
     pub(super) fn expire_leases(&mut self, now: Duration, actions: &mut Vec<Action>) {
-        if self.runs.is_empty() || !self.lease.has_lapsed(now) {
+        let is_over = self.lease.is_silent(now) && self.lease.has_lapsed(now);
+        if self.runs.is_empty() || !is_over {
             return;
         }
         let (outcome, reason) = if self.withheld_since.is_some() {
--- a/crates/cassiarock-transient/tests/host/restarts.rs
+++ b/crates/cassiarock-transient/tests/host/restarts.rs
@@ -256,6 +256,25 @@
     assert_eq!(harness.outcome_of(1), Some(Outcome::Crashed));
 }
 
+// Guards against a lease by the former clock: the next incarnation ran the task for as long as its stop
+// was not confirmed, and the agent ended it by a lease that it had not asked that incarnation for.
+#[test]
+fn a_task_that_the_next_incarnation_has_begun_ends_only_when_polls_show_it() {
+    let mut harness = started();
+    harness.leftover = vec![("j", 1)];
+    harness.report_incarnation(&started_at(2_000), 1);
+    for _ in 0..20 {
+        harness.advance(40);
+        harness.observe(&[("j", 1)], &[]);
+        assert_eq!(harness.outcome_of(1), None, "it runs there");
+    }
+    let answered = harness.now;
+    while harness.outcome_of(1).is_none() {
+        harness.advance(10);
+    }
+    assert!(harness.now > answered + ms(1_000), "the longest lease");
+}
+
 // The incarnation that may have the task restarted as well before a poll has shown it.
 #[test]
 fn a_second_restart_leaves_open_which_incarnation_has_an_answered_start() {
