Count what an upstream ran that fell silent first as crashed

A task that was given up while its upstream was away withheld the renewal of leases, which end anyway then, and all tasks beside it ended as lost, so that no task was suspected of the crash.

Evidence: tasks_of_an_upstream_that_was_silent_before_leases_were_withheld_have_crashed covers it.

Why it works: tasks count as lost with a withheld lease only if the upstream has answered since it was withheld.

--- a/crates/cassiarock-transient/src/host/lease.rs
+++ b/crates/cassiarock-transient/src/host/lease.rs
@@ -97,6 +97,11 @@
         now.saturating_sub(self.last_answer) > SILENCE_TIMEOUT
     }
 
+    /// Whether a response has arrived after this time.
+    pub(super) fn has_answered_after(&self, at: Duration) -> bool {
+        self.last_answer > at
+    }
+
     /// Whether all leases have expired by now, even on the slowest clock allowed.
     pub(super) fn has_lapsed(&self, now: Duration) -> bool {
         let ended = self.latest_expiry.saturating_add(millis(STOP_MARGIN));
--- a/crates/cassiarock-transient/src/host/snapshots.rs
+++ b/crates/cassiarock-transient/src/host/snapshots.rs
@@ -155,7 +155,11 @@
         if self.runs.is_empty() || !is_over {
             return;
         }
-        let (outcome, reason) = if self.withheld_since.is_some() {
+        // One that answered while its leases were not renewed was alive until they ended.
+        let was_withheld = self
+            .withheld_since
+            .is_some_and(|since| self.lease.has_answered_after(since));
+        let (outcome, reason) = if was_withheld {
             (Outcome::Lost, "its leases were not renewed")
         } else {
             (self.outcome_of_loss(), "the upstream does not answer")
--- a/crates/cassiarock-transient/tests/host/renewals.rs
+++ b/crates/cassiarock-transient/tests/host/renewals.rs
@@ -127,6 +127,24 @@
     assert_eq!(harness.outcome_of(2), Some(Outcome::Lost));
 }
 
+// Guards against tasks that crash one upstream after the other: a task beside them was given up while the
+// upstream was away, and they counted as lost.
+#[test]
+fn tasks_of_an_upstream_that_was_silent_before_leases_were_withheld_have_crashed() {
+    let mut harness = Harness::running();
+    harness.link(2);
+    harness.order(2, "k", 2);
+    harness.observe(&[("j", 1), ("k", 2)], &[]);
+    halt(&mut harness);
+    for _ in 0..150 {
+        harness.now += ms(10);
+        harness.host.record_echo(&entry(2), harness.now);
+        harness.host.renew_leases(harness.now);
+        harness.poll();
+    }
+    assert_eq!(harness.outcome_of(2), Some(Outcome::Crashed));
+}
+
 // An order that got no answer is stopped, and so may its stops. It must not keep leases from being
 // renewed for longer than it may still be carried out.
 #[test]
