Expire leases by the clock again, also while polls are answered

Which tasks it kept too long is not traced.

Why it is safe without: for what an agent finds on an incarnation the longest lease counts, and every other lease was asked for by this process.

--- a/crates/cassiarock-transient/src/host/snapshots.rs
+++ b/crates/cassiarock-transient/src/host/snapshots.rs
@@ -149,10 +149,9 @@
     }
 
     /// Ends all attempts once their leases must have expired: the upstream has not answered, and by
-    /// its own clock it has ended all that ran there. While it answers, polls tell what has ended.
+    /// its own clock it has ended all that ran there.
     pub(super) fn expire_leases(&mut self, now: Duration, actions: &mut Vec<Action>) {
-        let is_over = self.lease.is_silent(now) && self.lease.has_lapsed(now);
-        if self.runs.is_empty() || !is_over {
+        if self.runs.is_empty() || !self.lease.has_lapsed(now) {
             return;
         }
         // One that answered while its leases were not renewed was alive until they ended.
