--- a/crates/cassiarock-transient/src/host/mod.rs
+++ b/crates/cassiarock-transient/src/host/mod.rs
@@ -98,7 +98,8 @@
     /// Whether a poll has shown that nothing runs on the upstream's current incarnation. Until then
     /// an earlier incarnation of this agent may have tasks on it, so nothing is started.
     is_reconciled: bool,
-    /// Since when leases are not renewed because a task outlasts the contact with its entry.
+    /// Since when leases are not renewed because a task runs unasked or outlasts the contact with its
+    /// entry.
     withheld_since: Option<Duration>,
     /// Whether this agent accepts no new work.
     is_leaving: bool,
--- a/crates/cassiarock-transient/src/host/renewal.rs
+++ b/crates/cassiarock-transient/src/host/renewal.rs
@@ -2,9 +2,10 @@
 //!
 //! A lease holds everything that runs on the upstream, also a task that its entry has given up. The
 //! caller of such a task may submit it again, and it may start elsewhere, as soon as the time for
-//! stopping it is over. So leases are renewed only while each task was ordered by this process, and is
-//! still in the time in which the process may act for its entry. If one outlasts that time, its lease ends within
-//! [`LEASE`](crate::timing::LEASE), whatever became of its stop, and all that runs beside it ends too.
+//! stopping it is over. So leases are renewed only while each task was ordered by this process, and
+//! is still in the time in which the process may act for its entry. If one outlasts that time, its
+//! lease ends within [`LEASE`](crate::timing::LEASE), whatever became of its stop, and all that runs
+//! beside it ends too.
 
 use super::run::{Run, Task};
 use super::{Action, Host};
