Bound what the connections of callers and their bodies keep in memory

What callers saw: many requests whose bodies stop short of their end took the entry's memory, some 1,250 bytes for each byte of content in single-byte chunks, and held all connections, so that ordinary callers were refused.

Cause: a body was kept as the pieces that arrived, and each piece shares the buffer into which the connection was read. Nothing bounded all bodies together, a body without progress had no time limit, and a listener at its connection limit refused newcomers however long the open ones had kept it waiting.

Fix: a new crate, cassiarock-server, has the callers' server and reads bodies into one buffer each, counted by capacity against what all bodies may keep (a quarter of the VM's memory; the first 16 KiB of each body come from a pool of their own, so that large bodies leave room for ordinary ones). Bodies have a limit on pauses and on the whole. A listener without a connection or memory left closes the connections that have kept it waiting longest, for a second at least; a request that was read in part is refused with 503 and Retry-After. Connections follow the VM's descriptors and memory.

--- a/crates/cassiarock-caller/src/error.rs
+++ b/crates/cassiarock-caller/src/error.rs
@@ -36,6 +36,14 @@
         /// The time allowed.
         limit: Duration,
     },
+    /// The bodies of all requests hold the memory that they may. Send the request again later.
+    #[error(
+        "the request bodies of all callers hold the {limit} bytes that they may, not started by this submission"
+    )]
+    Full {
+        /// The limit in bytes.
+        limit: usize,
+    },
     /// The body is not encoded as its headers say. Correct its `Transfer-Encoding`.
     #[error("the request body from the caller is not encoded as its headers say: {reason}")]
     Encoding {
@@ -66,6 +74,7 @@
             Self::Body { field, .. } | Self::Field { field, .. } => field,
             Self::Oversized { .. }
             | Self::Slow { .. }
+            | Self::Full { .. }
             | Self::Encoding { .. }
             | Self::Broken { .. } => "body",
         }
@@ -78,7 +87,7 @@
             Self::Field { .. } => StatusCode::UNPROCESSABLE_ENTITY,
             Self::Oversized { .. } => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Slow { .. } => StatusCode::REQUEST_TIMEOUT,
-            Self::Broken { .. } => StatusCode::TOO_MANY_REQUESTS,
+            Self::Full { .. } | Self::Broken { .. } => StatusCode::TOO_MANY_REQUESTS,
         }
     }
 }
--- a/crates/cassiarock-caller/src/lib.rs
+++ b/crates/cassiarock-caller/src/lib.rs
@@ -10,7 +10,7 @@
 mod limit;
 mod reply;
 mod router;
-mod server;
+mod serve;
 mod submission;
 
 pub use answer::{Answer, Output};
@@ -18,5 +18,5 @@
 pub use error::Error;
 pub use limit::Limit;
 pub use router::router;
-pub use server::serve;
+pub use serve::serve;
 pub use submission::{Resources, Submission, Task};
--- a/crates/cassiarock-caller/src/limit.rs
+++ b/crates/cassiarock-caller/src/limit.rs
@@ -7,6 +7,8 @@
 pub struct Limit {
     /// The maximum bytes of a request body.
     pub body: usize,
+    /// The maximum bytes that the bodies of all requests keep.
+    pub bodies: usize,
     /// The maximum bytes of a request's line and headers.
     pub headers: usize,
     /// The maximum number of open connections.
@@ -35,6 +37,7 @@
     fn default() -> Self {
         Self {
             body: 4 << 20,
+            bodies: 64 << 20,
             headers: 16 << 10,
             connections: 10_000,
             tasks: Self::TASKS,
--- a/crates/cassiarock-caller/src/reply.rs
+++ b/crates/cassiarock-caller/src/reply.rs
@@ -138,7 +138,7 @@
 pub(crate) fn error(error: &Error) -> Response {
     let reason = error.to_string();
     let body = match error {
-        Error::Broken { .. } => Body::Unavailable {
+        Error::Full { .. } | Error::Broken { .. } => Body::Unavailable {
             reason: &reason,
             retry_after_s: seconds(RETRY_AFTER),
         },
--- a/crates/cassiarock-caller/src/router/job.rs
+++ b/crates/cassiarock-caller/src/router/job.rs
@@ -8,6 +8,7 @@
 use axum::http::StatusCode;
 use axum::response::Response;
 use cassiarock_id::Job;
+use cassiarock_server::Intake;
 use std::time::Duration;
 
 pub(super) type WaitQuery = Result<FromQuery<Query>, QueryRejection>;
@@ -16,9 +17,10 @@
 pub(super) async fn submit(
     State(state): State<ApiState>,
     query: WaitQuery,
+    intake: Intake,
     body: Body,
 ) -> Response {
-    match check(&state, query, body).await {
+    match check(&state, query, &intake, body).await {
         Ok((submission, wait)) => state.submit(submission, wait).await,
         Err(error) => reply::error(&error),
     }
@@ -58,10 +60,11 @@
 async fn check(
     state: &ApiState,
     query: WaitQuery,
+    intake: &Intake,
     body: Body,
 ) -> Result<(Submission, Option<Duration>), Error> {
     let wait = wait(state, query)?;
-    let job: body::Job = state.read(body).await?;
+    let job: body::Job = state.read(intake, body).await?;
     Ok((job.check(&state.limit)?, wait))
 }
 
--- a/crates/cassiarock-caller/src/router/request.rs
+++ b/crates/cassiarock-caller/src/router/request.rs
@@ -6,15 +6,17 @@
 use axum::body::Body;
 use axum::extract::State;
 use axum::response::Response;
+use cassiarock_server::Intake;
 use std::time::Duration;
 
 /// `POST /v1/requests`
 pub(super) async fn submit(
     State(state): State<ApiState>,
     query: WaitQuery,
+    intake: Intake,
     body: Body,
 ) -> Response {
-    match check(&state, query, body).await {
+    match check(&state, query, &intake, body).await {
         Ok((submission, wait)) => state.submit(submission, wait).await,
         Err(error) => reply::error(&error),
     }
@@ -23,9 +25,10 @@
 async fn check(
     state: &ApiState,
     query: WaitQuery,
+    intake: &Intake,
     body: Body,
 ) -> Result<(Submission, Option<Duration>), Error> {
     let wait = wait(state, query)?;
-    let request: body::Request = state.read(body).await?;
+    let request: body::Request = state.read(intake, body).await?;
     Ok((request.check(&state.limit)?, wait))
 }
--- a/crates/cassiarock-caller/src/router/state.rs
+++ b/crates/cassiarock-caller/src/router/state.rs
@@ -4,7 +4,7 @@
 use axum::body::Body;
 use axum::response::Response;
 use cassiarock_id::{Job, Name};
-use http_body_util::LengthLimitError;
+use cassiarock_server::{Intake, Terms};
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use std::io;
@@ -44,13 +44,18 @@
 impl ApiState {
     /// Reads and parses a body. The time limit keeps slow callers from occupying all
     /// connections and buffers.
-    pub(super) async fn read<T: DeserializeOwned>(&self, body: Body) -> Result<T, Error> {
-        let limit = self.limit.receive;
-        let bytes = tokio::time::timeout(limit, axum::body::to_bytes(body, self.limit.body))
-            .await
-            .map_err(|_| Error::Slow { limit })?
-            .map_err(|error| self.read_error(&error))?;
-        body::parse(&bytes)
+    pub(super) async fn read<T: DeserializeOwned>(
+        &self,
+        intake: &Intake,
+        body: Body,
+    ) -> Result<T, Error> {
+        let terms = Terms {
+            bytes: self.limit.body,
+            idle: self.limit.receive,
+            whole: self.limit.receive,
+        };
+        let content = intake.receive(body, &terms).await;
+        body::parse(&content.map_err(read_error)?)
     }
 
     /// Submits a job and waits for its answer, without a time limit if `wait` is `None`.
@@ -95,23 +100,26 @@
     fn send(&self, call: Call) -> Result<(), Answer> {
         self.calls.try_send(call).map_err(|_| unavailable())
     }
+}
 
-    fn read_error(&self, error: &axum::Error) -> Error {
-        let first: &dyn std::error::Error = error;
-        let causes = std::iter::successors(Some(first), |cause| cause.source());
-        if causes.clone().any(|cause| cause.is::<LengthLimitError>()) {
-            return Error::Oversized {
-                limit: self.limit.body,
-            };
-        }
-        let reason = causes.clone().last().unwrap_or(first).to_string();
-        let kinds = causes.filter_map(|cause| cause.downcast_ref::<io::Error>());
-        if kinds.map(io::Error::kind).any(is_malformed) {
-            return Error::Encoding { reason };
+fn read_error(error: cassiarock_server::Error) -> Error {
+    let broken = match error {
+        cassiarock_server::Error::Oversized { limit } => return Error::Oversized { limit },
+        cassiarock_server::Error::Stalled { limit } | cassiarock_server::Error::Slow { limit } => {
+            return Error::Slow { limit };
         }
-        log::info!("cannot read a request body: {reason}");
-        Error::Broken { reason }
+        cassiarock_server::Error::Full { limit } => return Error::Full { limit },
+        cassiarock_server::Error::Broken(broken) => broken,
+    };
+    let first: &dyn std::error::Error = &broken;
+    let causes = std::iter::successors(Some(first), |cause| cause.source());
+    let reason = causes.clone().last().unwrap_or(first).to_string();
+    let kinds = causes.filter_map(|cause| cause.downcast_ref::<io::Error>());
+    if kinds.map(io::Error::kind).any(is_malformed) {
+        return Error::Encoding { reason };
     }
+    log::info!("cannot read a request body: {reason}");
+    Error::Broken { reason }
 }
 
 /// Whether an error of this kind is the caller's, and not the connection's.
--- a/crates/cassiarock-dispatch/src/run/entry.rs
+++ b/crates/cassiarock-dispatch/src/run/entry.rs
@@ -1,5 +1,6 @@
 //! Sets up an entry, runs it and shuts it down.
 
+use super::share::Share;
 use super::{FLUSH_DELAY, GRACE_RESERVE, KEY, bind, identity, monitor, seed};
 use crate::entry::{Batch, Entry, Input};
 use crate::freshness::SharedFreshness;
@@ -10,12 +11,12 @@
 use crate::{Error, directory, learned, operator};
 use cassiarock_adapter::callers::{self, RouterState};
 use cassiarock_adapter::{Settings, Store};
-use cassiarock_caller::Limit;
 use cassiarock_id::{Process, Wall};
 use cassiarock_peer::{Key, Links, Listener};
 use cassiarock_process::{
     BACKLOG, Clock, Fault, Parts, Pump, Report, Stage, Status, forward, until,
 };
+use cassiarock_server::Bound;
 use cassiarock_transient::Scheduler;
 use cassiarock_transient::directory::Endpoint;
 use cassiarock_transient::freshness::Clocks;
@@ -41,13 +42,6 @@
 /// the store or another entry answers.
 const CONFIGURATION_WAIT: Duration = Duration::from_secs(1);
 
-/// How long a caller's connection may be idle or take to send its headers. It equals the idle
-/// time that the operators' configuration allows by default.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
-
-/// Most connections of callers, three quarters of the 4,100 file descriptors of the smallest VMs.
-const MAX_CONNECTIONS: usize = 3_000;
-
 /// How many updates of the operators' orders wait for the actor; later ones replace each other.
 const ORDER_BACKLOG: usize = 2;
 
@@ -104,6 +98,7 @@
         let listener = bind(settings.callers.ok_or(Error::MissingAddress("callers"))?).await?;
         let process = Process::new(settings.name.clone(), Wall::now().as_millis());
         let identity = identity(&settings, &process, Role::Entry);
+        let share = Share::new(&settings);
         let links = Listener::bind(settings.peers).await?;
         let store = Store::new(settings.store.to_string())?;
         let orders_store = store.clone().with_own_progress();
@@ -203,7 +198,8 @@
         .with_newest_version(newest_version)
         .with_is_outdated(is_outdated);
         let (close, closing) = watch::channel(Stage::Run);
-        let server = tokio::spawn(serve(listener, callers::router(state), closing));
+        let bound = share.callers();
+        let server = tokio::spawn(serve(listener, callers::router(state), bound, closing));
         Ok(Self {
             inputs,
             statuses,
@@ -298,12 +294,12 @@
     }
 }
 
-async fn serve(listener: TcpListener, router: axum::Router, mut closing: watch::Receiver<Stage>) {
-    let limit = Limit {
-        receive: IDLE_TIMEOUT,
-        connections: MAX_CONNECTIONS,
-        ..Limit::default()
-    };
+async fn serve(
+    listener: TcpListener,
+    router: axum::Router,
+    bound: Bound,
+    mut closing: watch::Receiver<Stage>,
+) {
     let closing = until(&mut closing, Stage::Drain);
-    cassiarock_caller::serve(listener, router, &limit, closing).await;
+    cassiarock_server::serve(listener, router, &bound, closing).await;
 }
--- a/crates/cassiarock-dispatch/src/run/mod.rs
+++ b/crates/cassiarock-dispatch/src/run/mod.rs
@@ -2,6 +2,7 @@
 
 mod agent;
 mod entry;
+mod share;
 
 pub use agent::run_agent;
 pub use entry::run_entry;
--- a/crates/cassiarock-entry/src/run.rs
+++ b/crates/cassiarock-entry/src/run.rs
@@ -242,6 +242,7 @@
 fn limit(limits: &settings::Limits) -> caller::Limit {
     caller::Limit {
         body: limits.body,
+        bodies: limits.bodies,
         headers: limits.headers,
         receive: limits.receive,
         connections: limits.connections,
--- a/crates/cassiarock-caller/src/server/read_state.rs
+++ b/crates/cassiarock-server/src/read_state.rs
@@ -1,5 +1,6 @@
 //! What has been read of a connection's requests.
 
+use crate::seat::{Seat, Stage};
 use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
 use std::pin::Pin;
 use std::sync::Arc;
@@ -7,8 +8,9 @@
 use std::task::{Context, Poll, Waker};
 
 /// What has been read of a connection's requests, shared by its socket and its handler.
-#[derive(Debug, Default)]
-pub(super) struct ReadState {
+#[derive(Debug)]
+pub(crate) struct ReadState {
+    seat: Arc<Seat>,
     /// The last read found the socket empty.
     is_drained: AtomicBool,
     /// A first request has begun, or is no longer expected.
@@ -25,57 +27,72 @@
 }
 
 impl ReadState {
+    pub(crate) fn new(seat: Arc<Seat>) -> Self {
+        Self {
+            seat,
+            is_drained: AtomicBool::default(),
+            is_used: AtomicBool::default(),
+            is_partial: AtomicBool::default(),
+            is_discarded: AtomicBool::default(),
+            is_expired: AtomicBool::default(),
+            is_closing: AtomicBool::default(),
+        }
+    }
+
     /// Whether nothing more is to be read, now or soon.
-    pub(super) fn is_idle(&self) -> bool {
+    pub(crate) fn is_idle(&self) -> bool {
         self.is_drained.load(Ordering::Relaxed)
             && self.is_used.load(Ordering::Relaxed)
             && !self.is_partial.load(Ordering::Relaxed)
     }
 
     /// Whether every byte that was read belongs to a request that was read to its end.
-    pub(super) fn is_whole(&self) -> bool {
+    pub(crate) fn is_whole(&self) -> bool {
         !self.is_partial.load(Ordering::Relaxed) && !self.is_discarded.load(Ordering::Relaxed)
     }
 
     /// Whether the last body was dropped before its end.
-    pub(super) fn is_discarded(&self) -> bool {
+    pub(crate) fn is_discarded(&self) -> bool {
         self.is_discarded.load(Ordering::Relaxed)
     }
 
     /// Records a read of the socket, which had nothing to read if `length` is `None`.
-    pub(super) fn read(&self, length: Option<usize>) {
+    pub(crate) fn read(&self, length: Option<usize>) {
         self.is_drained.store(length.is_none(), Ordering::Relaxed);
         if length.is_none() {
             return;
         }
         self.is_used.store(true, Ordering::Relaxed);
+        if self.seat.stage() == Stage::Idle {
+            self.seat.enter(Stage::Receiving);
+        }
         if !self.is_discarded.load(Ordering::Relaxed) {
             self.is_partial.store(true, Ordering::Relaxed);
         }
     }
 
     /// Makes reads ask the kernel for what has arrived.
-    pub(super) fn close(&self) {
+    pub(crate) fn close(&self) {
         self.is_closing.store(true, Ordering::Relaxed);
     }
 
     /// Whether the connection is about to be closed.
-    pub(super) fn is_closing(&self) -> bool {
+    pub(crate) fn is_closing(&self) -> bool {
         self.is_closing.load(Ordering::Relaxed)
     }
 
     /// Ends the wait for a first request.
-    pub(super) fn expect_none(&self) {
+    pub(crate) fn expect_none(&self) {
         self.is_used.store(true, Ordering::Relaxed);
     }
 
     /// Makes the reads of an incomplete request fail.
-    pub(super) fn expire(&self) {
+    pub(crate) fn expire(&self) {
         self.is_expired.store(true, Ordering::Relaxed);
     }
 
     /// Whether a read without result is to fail.
-    pub(super) fn is_expired(&self) -> bool {
+    pub(crate) fn is_expired(&self) -> bool {
         self.is_expired.load(Ordering::Relaxed) && self.is_partial.load(Ordering::Relaxed)
     }
 
@@ -86,6 +103,12 @@
 
     fn complete(&self) {
         self.is_partial.store(false, Ordering::Relaxed);
+        self.seat.enter(Stage::Serving);
+    }
+
+    /// Records that the response to a request is ready.
+    pub(crate) fn respond(&self) {
+        self.seat.enter(Stage::Idle);
     }
 
     fn discard(&self) {
@@ -95,14 +118,14 @@
 }
 
 /// A request body that records when it has been read.
-pub(super) struct Tracked {
+pub(crate) struct Tracked {
     body: Incoming,
     input: Arc<ReadState>,
     is_ended: bool,
 }
 
 impl Tracked {
-    pub(super) fn new(body: Incoming, input: Arc<ReadState>) -> Self {
+    pub(crate) fn new(body: Incoming, input: Arc<ReadState>) -> Self {
         input.begin();
         let is_ended = body.is_end_stream();
         if is_ended {
--- a/crates/cassiarock-caller/src/server/mod.rs
+++ b/crates/cassiarock-server/src/server.rs
@@ -1,10 +1,7 @@
 //! The HTTP server: connections and their limits.
 
-mod connection;
-mod read_state;
-mod stream;
-
-use crate::Limit;
+use crate::room::{Need, Room};
+use crate::{Bound, connection};
 use axum::Router;
 use hyper::server::conn::http1;
 use hyper_util::rt::TokioTimer;
@@ -15,6 +12,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
+use tokio::time::timeout;
 
 /// The smallest header buffer that hyper accepts, in bytes.
 const MIN_HEADER_BUFFER: usize = 8 << 10;
@@ -27,8 +25,10 @@
 /// How many of these accepts may fail before the rest of the queue is given up. An error may
 /// be that of one connection, or last.
 const MAX_QUEUED_ERRORS: usize = 16;
-/// How many connections over the limit are answered at a time; the rest are closed.
-const MAX_REJECTING: usize = 64;
+/// How long a connection over the limit waits for another one to close.
+const WAIT_TIMEOUT: Duration = Duration::from_secs(1);
+/// How often connections are asked to close meanwhile.
+const WAIT_STEPS: u32 = 4;
 /// Time limit for answering a connection over the limit.
 const REJECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// The response body for connections over the limit.
@@ -40,46 +40,50 @@
 /// ```
 /// # #[tokio::main(flavor = "current_thread")]
 /// # async fn main() -> Result<(), Box<dyn std::error::Error>> {
-/// use cassiarock_caller::{Limit, router, serve};
-/// let (sender, _calls) = tokio::sync::mpsc::channel(64);
-/// let limit = Limit::default();
+/// use cassiarock_server::{Bound, serve};
 /// let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await?;
-/// let routes = router(limit.clone(), sender);
-/// serve(listener, routes, &limit, std::future::ready(())).await;
+/// let router = axum::Router::new();
+/// serve(listener, router, &Bound::new("status"), std::future::ready(())).await;
 /// # Ok(())
 /// # }
 /// ```
 pub async fn serve(
     listener: TcpListener,
     router: Router,
-    limit: &Limit,
+    bound: &Bound,
     shutdown: impl Future<Output = ()>,
 ) {
     let server = Server {
-        http: http(limit),
+        http: http(bound),
         router,
+        room: Arc::new(Room::new(bound)),
         closing: watch::Sender::new(false),
-        free: Arc::new(Semaphore::new(limit.connections)),
-        rejecting: Arc::new(Semaphore::new(MAX_REJECTING)),
+        free: Arc::new(Semaphore::new(bound.connections)),
+        waiting: Arc::new(Semaphore::new(bound.waiting)),
     };
     tokio::select! {
         () = server.accept(&listener) => {}
         () = shutdown => {}
     }
     if let Err(error) = server.accept_queued(listener) {
-        log::warn!("accepting the last connections of callers: {error}");
+        log::warn!(
+            "{}: accepting the last connections: {error}",
+            bound.listener
+        );
     }
     server.closing.send_replace(true);
     server.closing.closed().await;
 }
 
+#[derive(Clone)]
 struct Server {
     http: http1::Builder,
     router: Router,
+    room: Arc<Room>,
     /// Tells the connections to close; each holds a receiver until it has ended.
     closing: watch::Sender<bool>,
     free: Arc<Semaphore>,
-    rejecting: Arc<Semaphore>,
+    waiting: Arc<Semaphore>,
 }
 
 impl Server {
@@ -88,7 +92,7 @@
             match listener.accept().await {
                 Ok((stream, _)) => self.admit(stream),
                 Err(error) => {
-                    log::warn!("accepting a caller's connection: {error}");
+                    log::warn!(listener = self.room.listener; "accepting a connection: {error}");
                     tokio::time::sleep(ACCEPT_PAUSE).await;
                 }
             }
@@ -107,7 +111,7 @@
                 Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
                 Err(error) if errors < MAX_QUEUED_ERRORS => {
                     errors += 1;
-                    log::warn!("accepting one of the last connections of callers: {error}");
+                    log::warn!(listener = self.room.listener; "accepting one of the last connections: {error}");
                 }
                 Err(error) => return Err(error),
             }
@@ -115,38 +119,68 @@
         Ok(())
     }
 
-    /// Serves a connection, or rejects it if too many are open, since more would take
-    /// memory and file descriptors from those in use. A rejected connection gets a
-    /// response: left in the kernel's queue, it would look like a dead entry to a load
-    /// balancer.
+    /// Serves a connection. If too many are open, the ones that have kept the listener waiting longest
+    /// are asked to close, and the new one waits for its place. One that finds none is rejected with a
+    /// response: left in the kernel's queue, it would look like a dead process to a load balancer.
     fn admit(&self, stream: TcpStream) {
-        match self.free.clone().try_acquire_owned() {
-            Ok(permit) => self.handle(stream, permit),
-            Err(_) => self.reject(stream),
+        if let Ok(permit) = self.free.clone().try_acquire_owned() {
+            tokio::spawn(self.handle(stream, permit));
+            return;
+        }
+        let Ok(waiting) = self.waiting.clone().try_acquire_owned() else {
+            self.count_refused();
+            return;
+        };
+        // Counts as a connection at the shutdown.
+        let open = self.closing.subscribe();
+        let server = self.clone();
+        tokio::spawn(async move {
+            if let Some(permit) = server.wait_for_place().await {
+                let served = server.handle(stream, permit);
+                drop((waiting, open));
+                return served.await;
+            }
+            server.count_refused();
+            let _ = timeout(REJECT_TIMEOUT, send_rejection(stream)).await;
+            drop((waiting, open));
+        });
+    }
+
+    /// Waits until another connection has closed, `None` if none does in time.
+    async fn wait_for_place(&self) -> Option<OwnedSemaphorePermit> {
+        for _ in 0..WAIT_STEPS {
+            self.room.make(Need::Connections);
+            let free = self.free.clone().acquire_owned();
+            if let Ok(Ok(permit)) = timeout(WAIT_TIMEOUT / WAIT_STEPS, free).await {
+                return Some(permit);
+            }
         }
+        None
     }
 
-    fn handle(&self, stream: TcpStream, permit: OwnedSemaphorePermit) {
+    /// Serves a connection until it ends.
+    fn handle(
+        &self,
+        stream: TcpStream,
+        permit: OwnedSemaphorePermit,
+    ) -> impl Future<Output = ()> + Send + use<> {
         let _ = stream.set_nodelay(true);
         let (http, router) = (self.http.clone(), self.router.clone());
-        let connection = connection::serve(http, router, stream, self.closing.subscribe());
-        tokio::spawn(async move {
+        let listener = self.room.listener;
+        let (place, closing) = (self.room.seat(), self.closing.subscribe());
+        async move {
+            let connection = connection::serve(http, router, stream, place, closing);
             if let Err(error) = connection.await {
-                log::debug!("serving a caller's connection: {error}");
+                log::debug!(listener = listener; "serving a connection: {error}");
             }
             drop(permit);
-        });
+        }
     }
 
-    fn reject(&self, stream: TcpStream) {
-        metrics::counter!("cassiarock_caller_connections_refused_total").increment(1);
-        if let Ok(permit) = self.rejecting.clone().try_acquire_owned() {
-            let open = self.closing.subscribe();
-            tokio::spawn(async move {
-                let _ = tokio::time::timeout(REJECT_TIMEOUT, send_rejection(stream)).await;
-                drop((permit, open));
-            });
-        }
+    fn count_refused(&self) {
+        let listener = self.room.listener;
+        metrics::counter!("cassiarock_connections_refused_total", "listener" => listener)
+            .increment(1);
     }
 }
 
@@ -159,11 +193,11 @@
 
 /// Builds the HTTP/1 settings. The timer closes connections that send their headers
 /// slowly, which would hold a connection as slow bodies do, and idle ones.
-fn http(limit: &Limit) -> http1::Builder {
+fn http(bound: &Bound) -> http1::Builder {
     let mut http = http1::Builder::new();
     http.timer(TokioTimer::new())
-        .header_read_timeout(limit.receive)
-        .max_buf_size(limit.headers.max(MIN_HEADER_BUFFER));
+        .header_read_timeout(bound.receive)
+        .max_buf_size(bound.headers.max(MIN_HEADER_BUFFER));
     http
 }
 
--- a/crates/cassiarock-caller/src/server/stream.rs
+++ b/crates/cassiarock-server/src/stream.rs
@@ -1,6 +1,6 @@
 //! The socket of a connection.
 
-use super::read_state::ReadState;
+use crate::read_state::ReadState;
 use socket2::SockRef;
 use std::io::{self, Read};
 use std::pin::Pin;
@@ -20,14 +20,14 @@
 ///
 /// Closing with unread input resets the connection, which can discard the last response.
 /// So the shutdown of an unfinished request reads on until the caller closes.
-pub(super) struct Stream {
+pub(crate) struct Stream {
     socket: TcpStream,
     input: Arc<ReadState>,
     linger: Option<Pin<Box<Sleep>>>,
 }
 
 impl Stream {
-    pub(super) const fn new(socket: TcpStream, input: Arc<ReadState>) -> Self {
+    pub(crate) const fn new(socket: TcpStream, input: Arc<ReadState>) -> Self {
         Self {
             socket,
             input,
--- a/crates/cassiarock-settings/src/limits.rs
+++ b/crates/cassiarock-settings/src/limits.rs
@@ -15,6 +15,9 @@
     /// Largest body of a submission, in bytes.
     #[serde_as(as = "Bytes")]
     pub body: usize,
+    /// What the bodies of all requests may keep in memory, in bytes.
+    #[serde_as(as = "Bytes")]
+    pub bodies: usize,
     /// Largest request head (line and headers), in bytes.
     #[serde_as(as = "Bytes")]
     pub headers: usize,
@@ -40,6 +43,7 @@
     pub(crate) fn check(&self) -> Check {
         const HOUR: Duration = Duration::from_secs(3600);
         check::positive("limits.body", self.body)?;
+        check::positive("limits.bodies", self.bodies)?;
         check::positive("limits.headers", self.headers)?;
         check::positive("limits.connections", self.connections)?;
         check::positive("limits.tasks", self.tasks)?;
@@ -64,6 +68,7 @@
     fn default() -> Self {
         Self {
             body: 4 << 20,
+            bodies: 64 << 20,
             headers: 16 << 10,
             connections: 4096,
             tasks: Self::LARGEST_JOB,
--- a/crates/cassiarock-test-support/src/process/mod.rs
+++ b/crates/cassiarock-test-support/src/process/mod.rs
@@ -160,6 +160,49 @@
         Ok(caught >> (signal as u32 - 1) & 1 == 1)
     }
 
+    /// Whether it has not ended.
+    ///
+    /// # Errors
+    /// If the system does not tell.
+    pub fn is_alive(&mut self) -> io::Result<bool> {
+        Ok(self.process.try_wait()?.is_none())
+    }
+
+    /// The most memory that it ever had resident, in bytes.
+    ///
+    /// # Errors
+    /// If the process is gone, or its record has no such entry.
+    pub fn peak_memory(&self) -> io::Result<u64> {
+        self.memory("VmHWM:")
+    }
+
+    /// The memory that it has resident, in bytes.
+    ///
+    /// # Errors
+    /// If the process is gone, or its record has no such entry.
+    pub fn resident_memory(&self) -> io::Result<u64> {
+        self.memory("VmRSS:")
+    }
+
+    /// How many descriptors it has open.
+    ///
+    /// # Errors
+    /// If the process is gone.
+    pub fn descriptors(&self) -> io::Result<usize> {
+        let open = std::fs::read_dir(format!("/proc/{}/fd", self.process.id()))?;
+        Ok(open.count())
+    }
+
+    /// An entry in KiB of the system's record of the process, in bytes.
+    fn memory(&self, entry: &str) -> io::Result<u64> {
+        let record = std::fs::read_to_string(format!("/proc/{}/status", self.process.id()))?;
+        let value = record.lines().find_map(|line| line.strip_prefix(entry));
+        let value = value.and_then(|value| value.trim().strip_suffix(" kB"));
+        let value = value.ok_or(io::ErrorKind::InvalidData)?;
+        let kib: u64 = value.trim().parse().map_err(io::Error::other)?;
+        Ok(kib << 10)
+    }
+
     /// Ends it at once (SIGKILL) and waits until it is gone.
     pub fn kill(&mut self) {
         let _ = self.process.kill();
--- a/tests/platform/site.rs
+++ b/tests/platform/site.rs
@@ -5,7 +5,7 @@
 use cassiarock_test_support::process::Child;
 use cassiarock_test_support::proxy::Proxy;
 use serde_json::{Value, json};
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::str::FromStr;
 use std::sync::atomic::{AtomicU16, Ordering};
@@ -21,9 +21,41 @@
 /// than it can.
 static ROOM: Semaphore = Semaphore::const_new(2);
 
+/// The bounds that the platform writes into the settings of each process, and the operators' bound
+/// on a body.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    pub memory_mb: u64,
+    pub file_descriptors: usize,
+    pub max_body_bytes: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            memory_mb: 260,
+            file_descriptors: 4_100,
+            max_body_bytes: 65_536,
+        }
+    }
+}
+
+impl Limits {
+    /// The section of a settings file.
+    fn section(self) -> String {
+        format!(
+            "[limits]\nmemoryMb = {}\nfileDescriptors = {}\n",
+            self.memory_mb, self.file_descriptors
+        )
+    }
+}
+
 /// Deployments so far: each has ports of its own.
 static SITES: AtomicU16 = AtomicU16::new(0);
 
+/// Where processes serve metrics.
+const METRICS_PORT: u16 = 9_464;
+
 /// How long all links may take at the start, on a busy machine.
 const START: Duration = Duration::from_secs(20);
 
@@ -103,6 +135,7 @@
     pub agents: Vec<Agent>,
     pub client: reqwest::Client,
     version: u64,
+    limits: Limits,
     _room: SemaphorePermit<'static>,
 }
 
@@ -118,24 +151,30 @@
 
     /// The same without waiting for links.
     pub async fn start_unlinked(entries: usize, agents: usize) -> Self {
-        Self::start_seeded(entries, agents, 1, false).await
+        Self::start_limited(entries, agents, Limits::default()).await
+    }
+
+    /// The same with other bounds on what each process may use.
+    pub async fn start_limited(entries: usize, agents: usize, limits: Limits) -> Self {
+        Self::start_seeded((entries, agents), 1, false, limits).await
     }
 
     /// Starts so many entries that link to one another, and no agents.
     pub async fn start_entries(entries: usize) -> Self {
-        Self::start_seeded(entries, 0, 1, true).await
+        Self::start_seeded((entries, 0), 1, true, Limits::default()).await
     }
 
     /// Starts so many entries that link to one another, and agents, without waiting for links. With
     /// more than a few entries an agent does not link to all.
     pub async fn start_entries_and_agents(entries: usize, agents: usize) -> Self {
-        Self::start_seeded(entries, agents, 1, true).await
+        Self::start_seeded((entries, agents), 1, true, Limits::default()).await
     }
 
     /// Starts so many entries, which link to one another or not, and agents in two data
     /// centres by turns, and waits until each entry can place tasks on all.
     pub async fn start_in_two(entries: usize, agents: usize, are_entries_linked: bool) -> Self {
-        let site = Self::start_seeded(entries, agents, 2, are_entries_linked).await;
+        let counts = (entries, agents);
+        let site = Self::start_seeded(counts, 2, are_entries_linked, Limits::default()).await;
         for entry in &site.entries {
             entry.linked(agents, START).await;
         }
@@ -143,10 +182,10 @@
     }
 
     async fn start_seeded(
-        entries: usize,
-        agents: usize,
+        (entries, agents): (usize, usize),
         data_centres: usize,
         are_entries_linked: bool,
+        limits: Limits,
     ) -> Self {
         let room = ROOM.acquire().await.unwrap();
         let ports = Ports::new();
@@ -159,6 +198,7 @@
             agents: Vec::new(),
             client: reqwest::Client::builder().no_proxy().build().unwrap(),
             version: 0,
+            limits,
             _room: room,
         };
         site.configure();
@@ -169,7 +209,8 @@
             let lacks = (agents > 0).then_some(DIRECTORY);
             door.with_fault(|fault| fault.lacks = lacks);
             let seeds: &[String] = if are_entries_linked { &seeds } else { &[] };
-            site.entries.push(Entry::start(number, ports, door, seeds));
+            site.entries
+                .push(Entry::start(number, (ports, limits), door, seeds));
         }
         for number in 0..agents {
             // Agents find entries by their seeds alone, that is through the proxies.
@@ -177,7 +218,8 @@
             door.with_fault(|fault| fault.down = true);
             let witness = site.witness.clone();
             let data_centre = data_centre(number % data_centres);
-            let agent = Agent::start((number, &data_centre), ports, door, &seeds, witness);
+            let place = (number, &*data_centre);
+            let agent = Agent::start(place, (ports, limits), door, &seeds, witness);
             site.agents.push(agent);
         }
         site
@@ -235,7 +277,7 @@
             "version": self.version,
             "routes": routes.map(queue).collect::<Vec<_>>(),
             "services": [{ "name": "tasks", "enforceCapacity": true }],
-            "limits": { "maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000 },
+            "limits": { "maxHeaderBytes": 16384, "maxBodyBytes": self.limits.max_body_bytes, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000 },
         });
         let record = [&[6][..], b"config", config.to_string().as_bytes()].concat();
         self.store.put("keyed.op", record);
@@ -244,7 +286,12 @@
 }
 
 impl Entry {
-    fn start(number: usize, ports: Ports, door: Door, seeds: &[String]) -> Self {
+    fn start(
+        number: usize,
+        (ports, limits): (Ports, Limits),
+        door: Door,
+        seeds: &[String],
+    ) -> Self {
         let ip = ports.ip(1, number);
         let name = format!("entry-{number}");
         let listen = SocketAddr::from((ip, ports.links()));
@@ -255,11 +302,12 @@
         let settings = format!(
             "nodeName = \"{name}\"\nzone = \"dc-1\"\nip = \"{ip}\"\ninternalPorts = [{}, {}]\n\
              seeds = [{seeds}]\n[listen]\nfrontendAddress = \"{ip}:{}\"\nreadinessAddress = \"{ip}:{}\"\n\
-             [bounds]\ngraceS = 6\n[platform]\naddress = \"{}\"\n",
+             {}[bounds]\ngraceS = 6\n[platform]\naddress = \"{}\"\n",
             ports.behind(),
             ports.behind() + 9,
             ports.callers(),
             ports.readiness(),
+            limits.section(),
             store_path.address(),
         );
         let file = write(&name, ports, &settings);
@@ -293,6 +341,26 @@
         format!("http://{}:{}/q/{id}", self.ip, self.ports.callers())
     }
 
+    /// Where callers connect.
+    pub const fn callers(&self) -> SocketAddr {
+        SocketAddr::new(IpAddr::V4(self.ip), self.ports.callers())
+    }
+
+    /// Where the balancer connects.
+    pub const fn balancer(&self) -> SocketAddr {
+        SocketAddr::new(IpAddr::V4(self.ip), self.ports.readiness())
+    }
+
+    /// Where operators connect.
+    pub const fn monitor(&self) -> SocketAddr {
+        SocketAddr::new(IpAddr::V4(self.ip), METRICS_PORT)
+    }
+
+    /// Where agents connect, past the proxy.
+    pub const fn links_behind(&self) -> SocketAddr {
+        SocketAddr::new(IpAddr::V4(self.ip), self.ports.behind())
+    }
+
     /// Where the balancer asks.
     pub fn readiness(&self) -> String {
         let port = self.ports.readiness();
@@ -348,7 +416,7 @@
 impl Agent {
     fn start(
         (number, data_centre): (usize, &str),
-        ports: Ports,
+        (ports, limits): (Ports, Limits),
         door: Door,
         seeds: &[String],
         witness: Witness,
@@ -362,10 +430,11 @@
         let settings = format!(
             "nodeName = \"{name}\"\nzone = \"{data_centre}\"\nip = \"{ip}\"\ninternalPorts = [{}, {}]\n\
              seeds = [{seeds}]\napp = \"{}\"\n[listen]\ncontrol = \"{reports}\"\n\
-             [bounds]\ngraceS = 6\n[platform]\naddress = \"{}\"\n",
+             {}[bounds]\ngraceS = 6\n[platform]\naddress = \"{}\"\n",
             ports.links(),
             ports.links() + 9,
             upstream.address(),
+            limits.section(),
             door.address(),
         );
         let file = write(&name, ports, &settings);
@@ -415,6 +484,11 @@
         format!("{}-{}", self.name.replace("agent", "u"), self.lives)
     }
 
+    /// Where its upstream connects.
+    pub const fn upstream_side(&self) -> SocketAddr {
+        SocketAddr::new(IpAddr::V4(self.ip), self.ports.reports())
+    }
+
     /// Where its upstream reports.
     pub fn reports(&self, id: &str) -> String {
         let port = self.ports.reports();
