Bound the listeners for reports and readiness checks

What upstreams saw: a crowd of unfinished reports took the agent's memory and descriptors, and a new upstream's first report could wait behind it. Both listeners had no bound on connections, reports one of 2 MB each, and none on all of them.

Fix: they use the bounded server.

--- a/crates/cassiarock-dispatch/src/run/agent.rs
+++ b/crates/cassiarock-dispatch/src/run/agent.rs
@@ -1,5 +1,6 @@
 //! Sets up an agent, runs it and shuts it down.
 
+use super::share::Share;
 use super::{FLUSH_DELAY, GRACE_RESERVE, KEY, bind, identity, monitor, seed, serve};
 use crate::agent::{Agent, Batch, Input};
 use crate::mesh::Mesh;
@@ -105,7 +106,11 @@
         );
         parts.spawn_vital(
             "the server for reports",
-            serve(listener, reports::router(reports)),
+            serve(
+                listener,
+                reports::router(reports),
+                Share::new(&settings).reports(),
+            ),
         );
         monitor(&settings, &statuses, &mut parts).await?;
         Ok(Self {
--- a/crates/cassiarock-dispatch/src/run/mod.rs
+++ b/crates/cassiarock-dispatch/src/run/mod.rs
@@ -13,7 +13,9 @@
 use cassiarock_id::Process;
 use cassiarock_peer::Identity;
 use cassiarock_process::{Monitor, Parts, Status};
+use cassiarock_server::Bound;
 use cassiarock_wire::Role;
+use share::Share;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -66,11 +68,16 @@
     statuses: &watch::Receiver<Status>,
     parts: &mut Parts,
 ) -> Result<(), Error> {
+    let share = Share::new(settings);
     if let Some(address) = settings.readiness {
         let known = statuses.clone();
         let is_ready = move || known.borrow().ready;
         let listener = bind(address).await?;
-        parts.spawn("readiness", serve(listener, reports::readiness(is_ready)));
+        let bound = share.readiness();
+        parts.spawn(
+            "readiness",
+            serve(listener, reports::readiness(is_ready), bound),
+        );
     }
     // Jobs are served even without metrics.
     match Monitor::bind(settings.monitor).await {
@@ -85,7 +92,7 @@
     Ok(())
 }
 
-async fn serve(listener: TcpListener, router: axum::Router) {
-    // Serving ends only with the process, so there is no result to handle.
-    let _ = axum::serve(listener, router).await;
+/// Serves until the process ends.
+async fn serve(listener: TcpListener, router: axum::Router, bound: Bound) {
+    cassiarock_server::serve(listener, router, &bound, std::future::pending()).await;
 }
