Bound the connections to status and metrics

What operators saw: 1,000 silent connections to the monitor's or the readiness listener used 1,016 descriptors of 512 that the test's settings allow; the next caller, link or call to the store would have found none.

Cause: both listeners took any number of connections, without a time limit on headers.

--- a/crates/cassiarock-dispatch/src/run/mod.rs
+++ b/crates/cassiarock-dispatch/src/run/mod.rs
@@ -82,6 +82,7 @@
     // Jobs are served even without metrics.
     match Monitor::bind(settings.monitor).await {
         Ok(monitor) => {
+            let monitor = monitor.with_bound(share.monitor());
             parts.spawn(
                 "metrics",
                 monitor.run(statuses.clone(), axum::Router::new()),
--- a/crates/cassiarock-process/src/monitor.rs
+++ b/crates/cassiarock-process/src/monitor.rs
@@ -4,6 +4,7 @@
 use axum::Json;
 use axum::Router;
 use axum::routing::get;
+use cassiarock_server::Bound;
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
 use std::net::SocketAddr;
 use std::sync::OnceLock;
@@ -15,6 +16,10 @@
     0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0,
 ];
 
+/// Open connections by default: operators, a collector of metrics, and processes that ask for the
+/// state.
+const CONNECTIONS: usize = 256;
+
 static RECORDER: OnceLock<PrometheusHandle> = OnceLock::new();
 
 /// Why the listener could not be opened.
@@ -35,6 +40,7 @@
 pub struct Monitor {
     listener: TcpListener,
     address: SocketAddr,
+    bound: Bound,
 }
 
 impl Monitor {
@@ -46,7 +52,19 @@
         let failed = |source| Error::Bind { address, source };
         let listener = TcpListener::bind(address).await.map_err(failed)?;
         let address = listener.local_addr().map_err(failed)?;
-        Ok(Self { listener, address })
+        Ok(Self {
+            listener,
+            address,
+            bound: Bound::new("monitor")
+                .with_connections(CONNECTIONS)
+                .with_bodies(0),
+        })
+    }
+
+    /// Sets what its clients may take.
+    #[must_use]
+    pub fn with_bound(self, bound: Bound) -> Self {
+        Self { bound, ..self }
     }
 
     /// The bound address.
@@ -66,7 +84,7 @@
             .route("/metrics", get(move || async move { scrape(recorder) }))
             .merge(more);
         // Serving ends only with the process.
-        let _ = axum::serve(self.listener, router).await;
+        cassiarock_server::serve(self.listener, router, &self.bound, std::future::pending()).await;
     }
 }
 
--- a/tests/clients/main.rs
+++ b/tests/clients/main.rs
@@ -8,6 +8,7 @@
 mod callers;
 mod check;
 mod crowd;
+mod monitors;
 mod reports;
 
 #[allow(dead_code, reason = "shared with the tests of the platform")]
