Bound what peers may hold before they have proved the key

What was seen: connections to an entry's address for links took 1,018 descriptors of 512 allowed, and 100 of them that opened a websocket and sent 2 MB of one large frame took 142 MB of 64.

Cause: any number of peers could be in their handshakes, and each could send a message of 16 MB before its proof was looked at.

Fix: a peer may send 16 KiB until it has proved the key. A listener keeps a 16th of the VM's descriptors (512 in the product's own interface) for handshakes; at that limit the oldest one is closed if it has taken half a second, else the newest.

--- a/crates/cassiarock-dispatch/src/run/entry.rs
+++ b/crates/cassiarock-dispatch/src/run/entry.rs
@@ -100,6 +100,7 @@
         let identity = identity(&settings, &process, Role::Entry);
         let share = Share::new(&settings);
         let links = Listener::bind(settings.peers).await?;
+        let links = links.with_max_unproven(share.unproven_links());
         let store = Store::new(settings.store.to_string())?;
         let orders_store = store.clone().with_own_progress();
         let (inputs, received) = mpsc::channel(BACKLOG);
--- a/crates/cassiarock-peer/src/dial.rs
+++ b/crates/cassiarock-peer/src/dial.rs
@@ -1,5 +1,6 @@
 //! Keeps one link to one peer open, and dials again whenever it ends.
 
+use crate::gate::Gate;
 use crate::link::Opened;
 use crate::{Error, Event, Identity, Key, LinkTiming, handshake, link};
 use cassiarock_id::Process;
@@ -132,7 +133,7 @@
             .map_err(failed)?;
         stream.set_nodelay(true).map_err(failed)?;
         let config = Some(handshake::config());
-        let opening = client_async_with_config(format!("ws://{peer}/"), stream, config);
+        let opening = client_async_with_config(format!("ws://{peer}/"), Gate::new(stream), config);
         let (mut socket, _) = opening.await.map_err(|e| Error::Socket {
             step: "open a websocket",
             peer,
@@ -140,6 +141,7 @@
         })?;
         let hello = handshake::dial(&mut socket, peer, &self.identity, &self.key).await?;
         check_process(peer, self.wanted.as_ref(), &hello)?;
+        socket.get_mut().open();
         Ok(Opened {
             socket,
             address: peer,
--- a/crates/cassiarock-peer/src/handshake.rs
+++ b/crates/cassiarock-peer/src/handshake.rs
@@ -1,17 +1,17 @@
 //! The handshake: each side proves that it knows the shared key before other frames are accepted.
 
+use crate::gate::Gate;
 use crate::{Error, Key, LinkTiming};
 use cassiarock_id::{Name, Process};
 use cassiarock_wire::{Frame, Hello, Role, decode, encode};
 use futures_util::{SinkExt, StreamExt};
 use std::net::SocketAddr;
-use tokio::net::TcpStream;
 use tokio::time::timeout;
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::Message;
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 
-pub(crate) type Socket = WebSocketStream<TcpStream>;
+pub(crate) type Socket = WebSocketStream<Gate>;
 
 /// The read buffer of a link, in bytes. The library zeroes all of it before each read, and its
 /// default of 128 KiB took a third of the processor time of an entry with 44 idle links. Most
--- a/crates/cassiarock-peer/src/lib.rs
+++ b/crates/cassiarock-peer/src/lib.rs
@@ -2,12 +2,14 @@
 
 mod dial;
 mod error;
+mod gate;
 mod handshake;
 mod key;
 mod link;
 mod links;
 mod listen;
 mod timing;
+mod unproven;
 
 pub use dial::Dialer;
 pub use error::Error;
--- a/tests/clients/main.rs
+++ b/tests/clients/main.rs
@@ -8,6 +8,7 @@
 mod callers;
 mod check;
 mod crowd;
+mod links;
 mod monitors;
 mod reports;
 
