--- a/crates/cassiarock-test-support/src/leased/fault.rs
+++ b/crates/cassiarock-test-support/src/leased/fault.rs
@@ -23,6 +23,8 @@
     pub late: Duration,
     /// So much of its room is away, in thousandths of a core.
     pub shrunk: u64,
+    /// Its answers to polls never end.
+    pub is_endless: bool,
     /// Tasks run this many times longer; 0 counts as 1.
     pub slow: u32,
 }
--- a/crates/cassiarock-test-support/src/leased/route.rs
+++ b/crates/cassiarock-test-support/src/leased/route.rs
@@ -1,14 +1,17 @@
 //! The orders that an upstream takes.
 
 use super::state::{Refusal, State as Tasks};
+use axum::body::{Body, Bytes};
 use axum::extract::{Request, State};
 use axum::http::{HeaderMap, StatusCode};
 use axum::middleware::{Next, from_fn_with_state};
 use axum::response::{IntoResponse, Response};
 use axum::routing::post;
 use axum::{Json, Router};
+use futures_util::TryStreamExt;
 use serde::Deserialize;
 use serde_json::json;
+use std::convert::Infallible;
 use std::net::TcpListener;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -143,6 +146,10 @@
 }
 
 async fn poll(State(tasks): State<Shared>, Json(poll): Json<Poll>) -> Response {
+    if lock(&tasks).fault.is_endless {
+        let spaces = futures_util::stream::repeat_with(|| Ok::<_, Infallible>([b' '; 4_096]));
+        return Body::from_stream(spaces.map_ok(Bytes::from_owner)).into_response();
+    }
     let until = Instant::now() + Duration::from_millis(poll.wait_ms);
     let mut changed = {
         let mut tasks = lock(&tasks);
--- a/tests/clients/main.rs
+++ b/tests/clients/main.rs
@@ -11,6 +11,7 @@
 mod links;
 mod monitors;
 mod reports;
+mod upstreams;
 
 #[allow(dead_code, reason = "shared with the tests of the platform")]
 #[path = "../platform/site.rs"]
