Test crowds at the product's own interface, and send slices of legal size

The own interface shares the server, the links and the monitor, so that the fixes hold there too.

The crowd of slices announced one byte more than a body may have, so that the bounded server refused it at once and showed nothing. It now sends a body of the largest legal size but its last byte.

--- a/tests/clients/check.rs
+++ b/tests/clients/check.rs
@@ -36,8 +36,17 @@
     site
 }
 
-/// Fails if the process has ended or has ever exceeded its bounds.
+/// Fails if the process has ended or has ever exceeded [`LIMITS`].
 pub fn assert_within_limits(process: &mut Child) {
+    assert_process(
+        process,
+        LIMITS.memory_mb * 1_000_000,
+        LIMITS.file_descriptors,
+    );
+}
+
+/// Fails if the process has ended or has ever had more memory, or has more descriptors.
+pub fn assert_process(process: &mut Child, max_memory: u64, max_descriptors: usize) {
     assert!(process.is_alive().unwrap(), "the process has ended");
     let memory = process.peak_memory().unwrap();
     let descriptors = process.descriptors().unwrap();
@@ -45,12 +54,13 @@
         "{} KB at the peak, {descriptors} descriptors",
         memory / 1_000
     );
-    let limit = LIMITS.memory_mb * 1_000_000;
-    assert!(memory <= limit, "{memory} bytes of memory, {limit} allowed");
-    let limit = LIMITS.file_descriptors;
     assert!(
-        descriptors <= limit,
-        "{descriptors} descriptors, {limit} allowed"
+        memory <= max_memory,
+        "{memory} bytes of memory, {max_memory} allowed"
+    );
+    assert!(
+        descriptors <= max_descriptors,
+        "{descriptors} descriptors, {max_descriptors} allowed"
     );
 }
 
--- a/tests/clients/crowd.rs
+++ b/tests/clients/crowd.rs
@@ -59,10 +59,7 @@
 
     /// A body of a known length in slices, a byte short of its end.
     pub fn slices(request: &str) -> Self {
-        let slice = 4_096;
-        let length = BODY + 1;
-        let header = format!("content-length: {length}\r\n\r\n");
-        Self::new(request, &header, vec![b' '; slice], BODY / slice)
+        Self::sliced(request, BODY, 1_387)
     }
 
     /// A body that stops after ten bytes.
@@ -77,6 +74,18 @@
         Self::new(request, "", line.into_bytes(), 15)
     }
 
+    /// A body of 4 MiB, a byte short of its end.
+    pub fn long_slices(request: &str) -> Self {
+        Self::sliced(request, 4 << 20, 60_787)
+    }
+
+    /// A whole submission whose caller waits as long as it may.
+    pub fn whole(request: &str, body: &str) -> Self {
+        let length = body.len();
+        let header = format!("deadline-ms: 600000\r\ncontent-length: {length}\r\n\r\n");
+        Self::new(request, &header, body.as_bytes().to_vec(), 1)
+    }
+
     /// Whole requests in a row, whose answers nobody reads.
     pub fn unread(request: &str) -> Self {
         let whole = format!("{request} HTTP/1.1\r\nhost: queue.example\r\n\r\n");
@@ -93,6 +102,12 @@
         script
     }
 
+    fn sliced(request: &str, length: usize, slice: usize) -> Self {
+        assert_eq!((length - 1) % slice, 0, "the last byte is kept back");
+        let header = format!("content-length: {length}\r\n\r\n");
+        Self::new(request, &header, vec![b' '; slice], length / slice)
+    }
+
     fn chunked(request: &str, piece: Vec<u8>, pieces: usize) -> Self {
         let header = "transfer-encoding: chunked\r\n\r\n";
         Self::new(request, header, piece, pieces)
--- a/tests/clients/main.rs
+++ b/tests/clients/main.rs
@@ -10,9 +10,14 @@
 mod crowd;
 mod links;
 mod monitors;
+mod own;
 mod reports;
 mod upstreams;
 
 #[allow(dead_code, reason = "shared with the tests of the platform")]
 #[path = "../platform/site.rs"]
 mod site;
+
+#[allow(dead_code, reason = "shared with the tests of failures")]
+#[path = "../failures/node.rs"]
+mod node;
--- a/tests/failures/node.rs
+++ b/tests/failures/node.rs
@@ -14,7 +14,7 @@
 /// be busy.
 pub const PATIENCE: Duration = Duration::from_secs(30);
 const POLL: Duration = Duration::from_millis(10);
-const KEY: &str = "the failure tests' own key";
+pub const KEY: &str = "the failure tests' own key";
 const DAEMON: &str = env!("CARGO_BIN_EXE_cassiarockd");
 
 /// An agent, its worker, and the proxies between it and the others.
@@ -111,7 +111,7 @@
     }
 }
 
-fn start(role: &str, name: &str, setting: &impl Serialize) -> Child {
+pub fn start(role: &str, name: &str, setting: &impl Serialize) -> Child {
     Child::start(DAEMON, role, name, setting, env!("CARGO_TARGET_TMPDIR")).unwrap()
 }
 
--- a/tests/platform/site.rs
+++ b/tests/platform/site.rs
@@ -341,26 +341,6 @@
         format!("http://{}:{}/q/{id}", self.ip, self.ports.callers())
     }
 
-    /// Where callers connect.
-    pub const fn callers(&self) -> SocketAddr {
-        SocketAddr::new(IpAddr::V4(self.ip), self.ports.callers())
-    }
-
-    /// Where the balancer connects.
-    pub const fn balancer(&self) -> SocketAddr {
-        SocketAddr::new(IpAddr::V4(self.ip), self.ports.readiness())
-    }
-
-    /// Where operators connect.
-    pub const fn monitor(&self) -> SocketAddr {
-        SocketAddr::new(IpAddr::V4(self.ip), METRICS_PORT)
-    }
-
-    /// Where agents connect, past the proxy.
-    pub const fn links_behind(&self) -> SocketAddr {
-        SocketAddr::new(IpAddr::V4(self.ip), self.ports.behind())
-    }
-
     /// Where the balancer asks.
     pub fn readiness(&self) -> String {
         let port = self.ports.readiness();
@@ -369,12 +349,12 @@
 
     /// Where operators read its metrics.
     pub fn metrics(&self) -> String {
-        format!("http://{}:9464/metrics", self.ip)
+        format!("http://{}:{METRICS_PORT}/metrics", self.ip)
     }
 
     /// How many processes it is linked to, by its status.
     pub async fn links(&self) -> Option<usize> {
-        let answer = reqwest::get(format!("http://{}:9464/status", self.ip)).await;
+        let answer = reqwest::get(format!("http://{}:{METRICS_PORT}/status", self.ip)).await;
         let status: Value = serde_json::from_str(&answer.ok()?.text().await.ok()?).ok()?;
         usize::try_from(status["links"].as_u64()?).ok()
     }
@@ -413,6 +393,29 @@
     }
 }
 
+#[allow(dead_code, reason = "used by the tests of clients")]
+impl Entry {
+    /// Where callers connect.
+    pub const fn callers(&self) -> SocketAddr {
+        SocketAddr::new(IpAddr::V4(self.ip), self.ports.callers())
+    }
+
+    /// Where the balancer connects.
+    pub const fn balancer(&self) -> SocketAddr {
+        SocketAddr::new(IpAddr::V4(self.ip), self.ports.readiness())
+    }
+
+    /// Where operators connect.
+    pub const fn monitor(&self) -> SocketAddr {
+        SocketAddr::new(IpAddr::V4(self.ip), METRICS_PORT)
+    }
+
+    /// Where agents connect, past the proxy.
+    pub const fn links_behind(&self) -> SocketAddr {
+        SocketAddr::new(IpAddr::V4(self.ip), self.ports.behind())
+    }
+}
+
 impl Agent {
     fn start(
         (number, data_centre): (usize, &str),
@@ -484,11 +487,6 @@
         format!("{}-{}", self.name.replace("agent", "u"), self.lives)
     }
 
-    /// Where its upstream connects.
-    pub const fn upstream_side(&self) -> SocketAddr {
-        SocketAddr::new(IpAddr::V4(self.ip), self.ports.reports())
-    }
-
     /// Where its upstream reports.
     pub fn reports(&self, id: &str) -> String {
         let port = self.ports.reports();
@@ -496,6 +494,14 @@
     }
 }
 
+#[allow(dead_code, reason = "used by the tests of clients")]
+impl Agent {
+    /// Where its upstream connects.
+    pub const fn upstream_side(&self) -> SocketAddr {
+        SocketAddr::new(IpAddr::V4(self.ip), self.ports.reports())
+    }
+}
+
 /// The name of a data centre, counted from 0.
 pub fn data_centre(number: usize) -> String {
     format!("dc-{}", number + 1)
