--- a/crates/cassiarock-server/src/content.rs
+++ b/crates/cassiarock-server/src/content.rs
@@ -1,4 +1,4 @@
-//! A request body that has been received.
+//! A request body that has been received, and what is kept of it.
 
 use crate::memory::Held;
 use crate::seat::Seat;
@@ -18,6 +18,23 @@
     pub(crate) const fn new(bytes: Vec<u8>, held: Held, seat: Arc<Seat>) -> Self {
         Self { bytes, held, seat }
     }
+
+    /// Frees the body and returns the memory that it has held.
+    pub(crate) fn into_held(mut self) -> Held {
+        std::mem::take(&mut self.held)
+    }
+}
+
+/// Memory that counts towards that of its listener until it is dropped.
+#[derive(Debug)]
+pub struct Reserve {
+    _held: Held,
+}
+
+impl Reserve {
+    pub(crate) const fn new(held: Held) -> Self {
+        Self { _held: held }
+    }
 }
 
 impl Deref for Content {
@@ -30,7 +47,6 @@
 
 impl Drop for Content {
     fn drop(&mut self) {
-        self.held.shrink(0);
         self.seat.hold(0);
     }
 }
--- a/crates/cassiarock-server/src/intake.rs
+++ b/crates/cassiarock-server/src/intake.rs
@@ -3,7 +3,7 @@
 use crate::memory::Held;
 use crate::room::Room;
 use crate::seat::Seat;
-use crate::{Bound, Content, Error};
+use crate::{Bound, Content, Error, Reserve};
 use axum::body::{Body, Bytes, HttpBody};
 use axum::extract::FromRequestParts;
 use axum::http::request::Parts;
@@ -73,12 +73,33 @@
         let received = received.unwrap_or(Err(Error::Slow { limit: terms.whole }));
         if let Err(error) = &received {
             self.seat.hold(0);
-            metrics::counter!("cassiarock_bodies_refused_total", "listener" => self.room.listener, "reason" => error.label())
-                .increment(1);
+            self.count_refused(error);
         }
         received
     }
 
+    /// Frees `content` and reserves `bytes` for what is made of it, such as a decoded job.
+    ///
+    /// # Errors
+    /// [`Error::Full`] if there is not enough memory.
+    pub async fn reserve(&self, content: Content, bytes: usize) -> Result<Reserve, Error> {
+        let mut held = content.into_held();
+        held.shrink(bytes);
+        if self.room.grow(&self.seat, &mut held, bytes).await {
+            return Ok(Reserve::new(held));
+        }
+        let limit = self.room.memory.bytes();
+        let error = Error::Full { limit };
+        self.count_refused(&error);
+        Err(error)
+    }
+
+    fn count_refused(&self, error: &Error) {
+        let (listener, reason) = (self.room.listener, error.label());
+        metrics::counter!("cassiarock_bodies_refused_total", "listener" => listener, "reason" => reason)
+            .increment(1);
+    }
+
     async fn collect(&self, mut body: Body, terms: &Terms) -> Result<Content, Error> {
         let limit = terms.bytes.min(self.room.memory.largest_body());
         let oversized = || Error::Oversized { limit };
--- a/crates/cassiarock-server/src/lib.rs
+++ b/crates/cassiarock-server/src/lib.rs
@@ -16,7 +16,7 @@
 mod stream;
 
 pub use bound::Bound;
-pub use content::Content;
+pub use content::{Content, Reserve};
 pub use error::Error;
 pub use intake::{Intake, Terms};
 pub use server::serve;
