Bound the answers of health checks and other control calls to upstreams

An agent of the product's own interface read the answer to a health check whole, whatever its size, within the second that a check may take. It is now an error above 64 KiB. The new test (an answer of 200 KB) failed before: the answer was taken as healthy.

--- a/crates/cassiarock-upstream/src/worker.rs
+++ b/crates/cassiarock-upstream/src/worker.rs
@@ -18,6 +18,9 @@
 /// The largest answer of a task, in bytes.
 const MAX_ANSWER_BYTES: usize = 1 << 20;
 
+/// The largest answer of a control call, in bytes.
+const MAX_CONTROL_ANSWER_BYTES: usize = 64 << 10;
+
 /// The client of one worker. Its clones share the connections.
 #[derive(Clone, Debug)]
 pub struct UpstreamClient {
@@ -224,10 +227,12 @@
     async fn get<T: DeserializeOwned>(&self, step: &'static str) -> Result<T, Error> {
         let url = format!("{}/v1/{step}", self.base);
         let response = self.control(step, self.client.get(url)).await?;
-        let body = tokio::time::timeout(CONTROL_TIMEOUT, response.json())
+        let body = read_body(response, MAX_CONTROL_ANSWER_BYTES);
+        let body = tokio::time::timeout(CONTROL_TIMEOUT, body)
             .await
             .map_err(|_| self.call_error(step, "its answer breaks off".to_owned()))?;
-        body.map_err(|error| self.call_error(step, error_chain(&error)))
+        let body = body.map_err(|reason| self.call_error(step, reason))?;
+        serde_json::from_slice(&body).map_err(|error| self.call_error(step, error.to_string()))
     }
 
     async fn control(
--- a/crates/cassiarock-upstream/tests/worker.rs
+++ b/crates/cassiarock-upstream/tests/worker.rs
@@ -143,6 +143,27 @@
     assert!(!server.join().unwrap(), "the request was sent again");
 }
 
+// Guards against an answer to a health check that is read into memory without a bound.
+#[tokio::test]
+async fn a_health_answer_over_the_limit_is_an_error() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let url = format!("http://{}", listener.local_addr().unwrap());
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let head = "HTTP/1.1 200 OK\r\ncontent-length: 200000\r\n\r\n";
+        let body = format!(
+            r#"{{"healthy":true,"leaving":false,"x":"{}"}}"#,
+            "x".repeat(199_900)
+        );
+        // The client may have closed the connection.
+        let _ = write!(stream, "{head}{body}");
+        let _ = stream.read(&mut [0; 4_096]);
+    });
+    let health = UpstreamClient::new(url, 64).unwrap().health().await;
+    let error = health.unwrap_err().to_string();
+    assert!(error.contains("over 65536 bytes"), "{error}");
+}
+
 #[tokio::test]
 async fn an_answer_over_the_limit_is_lost() {
     let standin = worker::Worker::new().unwrap();
