Soak of crowds beside signals, restarts and changes; tests of a listener at its bounds

The soak sends crowds of every kind to every listener, up to three at a time, while entries and agents are killed, paused, terminated and started again and configurations change. It checks that processes stay within memory and descriptors, that a terminated entry ends, that jobs are run afterwards, that nothing runs twice at once, and that a job that was only refused has not run.

--- a/tests/clients/callers.rs
+++ b/tests/clients/callers.rs
@@ -1,6 +1,6 @@
 //! Crowds at the entry's listener for callers.
 
-use crate::check::{alone, assert_runs_a_job, assert_within_limits, small_site};
+use crate::check::{LIMITS, alone, assert_runs_a_job, assert_within_limits, small_site};
 use crate::crowd::{Crowd, Script};
 use std::time::Duration;
 use yare::parameterized;
@@ -80,3 +80,16 @@
     let phases = phases.join(",");
     format!(r#"{{"spec":"ms=50","bestEffort":true,"phases":[{phases}]}}"#)
 }
+
+// Guards against bounds that a single caller inside the limits meets.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_submission_of_the_largest_legal_size_is_run_in_calm() {
+    let _alone = alone().await;
+    let site = small_site().await;
+    let body = format!("{:1$}", job(2, "ms=20"), LIMITS.max_body_bytes);
+    let call = reqwest::Client::new()
+        .post(site.entries[0].job("00000000000000c0"))
+        .header("host", "queue.example")
+        .body(body);
+    assert_eq!(call.send().await.unwrap().status(), 200);
+}
--- a/tests/clients/main.rs
+++ b/tests/clients/main.rs
@@ -12,6 +12,7 @@
 mod monitors;
 mod own;
 mod reports;
+mod soak;
 mod upstreams;
 
 #[allow(dead_code, reason = "shared with the tests of the platform")]
