--- a/crates/cassiarock-settings/src/limits.rs
+++ b/crates/cassiarock-settings/src/limits.rs
@@ -1,6 +1,6 @@
 //! Limits of the callers' API.
 
-use crate::check::{self, Check};
+use crate::check::{self, Check, Problem};
 use crate::units::{Bytes, Time};
 use serde::{Deserialize, Serialize};
 use serde_with::serde_as;
@@ -43,7 +43,7 @@
     pub(crate) fn check(&self) -> Check {
         const HOUR: Duration = Duration::from_secs(3600);
         check::positive("limits.body", self.body)?;
-        check::positive("limits.bodies", self.bodies)?;
+        self.check_bodies()?;
         check::positive("limits.headers", self.headers)?;
         check::positive("limits.connections", self.connections)?;
         check::positive("limits.tasks", self.tasks)?;
@@ -64,6 +64,22 @@
     }
 }
 
+impl Limits {
+    /// A quarter of the memory for bodies is kept for small ones, so that a body of the largest size needs
+    /// more than its own.
+    fn check_bodies(&self) -> Check {
+        let least = self.body.saturating_mul(2);
+        if self.bodies >= least {
+            return Ok(());
+        }
+        Err(Problem::new(
+            "limits.bodies",
+            format!("{} bytes hold too few bodies", self.bodies),
+            format!("give at least {least}B, twice `limits.body`"),
+        ))
+    }
+}
+
 impl Default for Limits {
     fn default() -> Self {
         Self {
--- a/crates/cassiarock-settings/tests/entry.rs
+++ b/crates/cassiarock-settings/tests/entry.rs
@@ -38,6 +38,7 @@
     no_unit = { json!({ "drain_limit": "3" }), "`drain_limit`: \"3\" is no duration; write" },
     wrong_unit = { json!({ "limits": { "body": "4MB" } }), "`limits.body`: \"4MB\" is no size; write" },
     zero = { json!({ "limits": { "connections": 0 } }), "`limits.connections`: must not be zero" },
+    too_few_bodies = { json!({ "limits": { "bodies": "5MiB" } }), "`limits.bodies`: 5242880 bytes hold too few bodies; give at least 8388608B" },
     over_the_job_size = { json!({ "limits": { "tasks": 861 } }), "`limits.tasks`: 861 is too large; give at most 860" },
     no_share = { json!({ "policy": { "retry_share": 1.5 } }), "`policy.retry_share`: 1.5 is no share" },
     unknown_policy = { json!({ "policy": { "placement": "credit" } }), "`policy.placement`: unknown variant `credit`, expected one of" },
