Let an evicted request that had arrived whole be answered; free memory from the largest bodies first

By reading: a request that arrived whole just before its connection was evicted was cut two seconds later, and the sort's keys could change while it ran. A connection that had been asked to close was asked again by the next search, in the place of another.

--- a/crates/cassiarock-server/src/connection.rs
+++ b/crates/cassiarock-server/src/connection.rs
@@ -3,6 +3,7 @@
 use crate::Intake;
 use crate::read_state::{ReadState, Tracked};
 use crate::room::SeatGuard;
+use crate::seat::Stage;
 use crate::stream::Stream;
 use axum::Router;
 use axum::http::HeaderValue;
@@ -26,7 +27,8 @@
 const FIRST_TIMEOUT: Duration = Duration::from_millis(100);
 /// How long a caller may take after the shutdown to send the rest of a request.
 const REST_TIMEOUT: Duration = Duration::from_secs(1);
-/// How long a connection that is closed to make room may take to receive its response.
+/// How long a connection that is closed to make room may take to receive its response. It is reset
+/// then.
 const EVICTION_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Serves a connection until it ends. Once `closing` is set, what has arrived is still
@@ -81,8 +83,15 @@
     if is_evicted {
         state.expect_none();
         state.expire();
-        // A client that does not read its response has its connection reset.
-        return timeout(EVICTION_TIMEOUT, drain).await.unwrap_or(Ok(()));
+        loop {
+            if let Ok(ended) = timeout(EVICTION_TIMEOUT, drain.as_mut()).await {
+                return ended;
+            }
+            // The request may have arrived whole before the connection was evicted.
+            if place.seat.stage() != Stage::Serving {
+                return Ok(());
+            }
+        }
     }
     tokio::select! {
         biased;
--- a/crates/cassiarock-server/src/read_state.rs
+++ b/crates/cassiarock-server/src/read_state.rs
@@ -97,6 +97,7 @@
     }
 
     fn begin(&self) {
+        self.seat.enter(Stage::Receiving);
         self.is_partial.store(true, Ordering::Relaxed);
         self.is_discarded.store(false, Ordering::Relaxed);
     }
@@ -108,6 +109,7 @@
 
     /// Records that the response to a request is ready.
     pub(crate) fn respond(&self) {
+        self.seat.hold(0);
         self.seat.enter(Stage::Idle);
     }
 
--- a/crates/cassiarock-server/src/room.rs
+++ b/crates/cassiarock-server/src/room.rs
@@ -94,8 +94,8 @@
         false
     }
 
-    /// Asks the connections to close that have kept the listener waiting longest, unless that was
-    /// done just now.
+    /// Asks connections to close, unless that was done just now: for memory, those whose unfinished
+    /// bodies keep the most; for connections, those that have kept the listener waiting longest.
     pub(crate) fn make(&self, need: Need) {
         let now = Instant::now();
         let mut seats = self.lock();
@@ -110,7 +110,13 @@
             .cloned()
             .collect();
         drop(seats);
-        waiting.sort_by_key(|seat| (seat.stage(), Reverse(seat.age(now))));
+        // The keys change while connections go on.
+        match need {
+            Need::Connections => {
+                waiting.sort_by_cached_key(|seat| (seat.stage(), Reverse(seat.age(now))));
+            }
+            Need::Memory => waiting.sort_by_cached_key(|seat| Reverse(seat.held())),
+        }
         let (mut connections, mut bytes) = (0, 0);
         for seat in &waiting {
             let is_enough = match need {
@@ -124,9 +130,9 @@
             bytes += seat.held();
             seat.evict();
         }
-        if let Some(oldest) = waiting.first() {
-            let age = oldest.age(now).as_millis();
-            log::info!(listener = self.listener, need = need.label(), connections = connections, bytes = bytes, oldest_ms = age; "connections closed to make room");
+        if let Some(first) = waiting.first() {
+            let age = first.age(now).as_millis();
+            log::info!(listener = self.listener, need = need.label(), connections = connections, bytes = bytes, first_ms = age; "connections closed to make room");
             metrics::counter!("cassiarock_connections_evicted_total", "listener" => self.listener, "need" => need.label())
                 .increment(connections as u64);
         }
@@ -139,7 +145,7 @@
 }
 
 fn is_evictable(seat: &Seat, now: Instant) -> bool {
-    seat.stage() != Stage::Serving && seat.age(now) >= MIN_AGE
+    !seat.is_evicted() && seat.stage() != Stage::Serving && seat.age(now) >= MIN_AGE
 }
 
 /// The place of a connection, given up on drop.
--- a/crates/cassiarock-server/src/seat.rs
+++ b/crates/cassiarock-server/src/seat.rs
@@ -1,6 +1,6 @@
 //! What a connection keeps the listener waiting for, and since when.
 
-use std::sync::atomic::{AtomicU8, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -26,6 +26,7 @@
     since: AtomicU64,
     /// Bytes that the body of the request keeps.
     held: AtomicUsize,
+    is_evicted: AtomicBool,
     evicted: Notify,
 }
 
@@ -36,6 +37,7 @@
             stage: AtomicU8::new(Stage::Receiving as u8),
             since: AtomicU64::new(0),
             held: AtomicUsize::new(0),
+            is_evicted: AtomicBool::new(false),
             evicted: Notify::new(),
         }
     }
@@ -75,9 +77,15 @@
 
     /// Asks the connection to close.
     pub(crate) fn evict(&self) {
+        self.is_evicted.store(true, Ordering::Relaxed);
         self.evicted.notify_one();
     }
 
+    /// Whether the connection has been asked to close.
+    pub(crate) fn is_evicted(&self) -> bool {
+        self.is_evicted.load(Ordering::Relaxed)
+    }
+
     /// Waits until the connection is asked to close.
     pub(crate) async fn evicted(&self) {
         self.evicted.notified().await;
