Soak: look at processes only once they have started

Traced: the process had no signal handler yet, and 100 ms later 43 and 19 descriptors; it was being started and still had copies of the test program's 14,000. Descriptors are now counted, and SIGHUP is sent, once the process has its handlers, for which the soak waits; before, SIGHUP was left out then.

--- a/tests/clients/soak.rs
+++ b/tests/clients/soak.rs
@@ -31,6 +31,9 @@
 /// A terminated process that takes longer, several times its grace period, hangs.
 const HANGING: Duration = Duration::from_secs(30);
 
+/// How often a process that is being started is looked at.
+const STARTING: Duration = Duration::from_millis(5);
+
 /// Ordinary callers, crowds at a time, and the connections of a crowd at most.
 const CALLERS: u64 = 4;
 const CROWDS: u64 = 3;
@@ -86,12 +89,14 @@
         client.await.unwrap();
     }
     for entry in &mut site.entries {
+        started(&mut entry.process).await;
         assert_within_limits(&mut entry.process);
         entry.linked_to_one(LINKED).await;
         assert_runs_a_job(entry).await;
         assert_within_limits(&mut entry.process);
     }
     for agent in &mut site.agents {
+        started(&mut agent.process).await;
         assert_within_limits(&mut agent.process);
     }
     site.assert_never_twice();
@@ -184,11 +189,21 @@
 }
 
 /// Checks a process that must still run, and kills it.
-fn kill(process: &mut Child) {
+async fn kill(process: &mut Child) {
+    process.resume();
+    started(process).await;
     assert_within_limits(process);
     process.kill();
 }
 
+/// Waits until a process has handlers for its signals. Until then a signal may end it, and while it is
+/// being started it has the descriptors of this program.
+async fn started(process: &mut Child) {
+    while process.exit_status().unwrap().is_none() && !process.handles(Signal::SIGHUP).unwrap() {
+        sleep(STARTING).await;
+    }
+}
+
 /// Sends signals, restarts processes and changes the configuration, overlapping, until the time given.
 async fn disturb(mut rng: StdRng, site: &mut Site, until: Instant) {
     let mut leaving = vec![false; site.entries.len()];
@@ -201,13 +216,13 @@
             let (entry, agent) = (&mut site.entries[entry], &mut site.agents[agent]);
             match fault {
                 0 => {
-                    kill(&mut agent.process);
+                    kill(&mut agent.process).await;
                     agent.restart();
                 }
                 1 => agent.process.pause(),
                 2 | 3 => agent.process.resume(),
                 4 if !*is_leaving => {
-                    kill(&mut entry.process);
+                    kill(&mut entry.process).await;
                     entry.restart();
                 }
                 5 if !*is_leaving => entry.process.pause(),
@@ -217,8 +232,11 @@
                     entry.process.terminate();
                     *is_leaving = true;
                 }
-                // Before it has a handler, the signal ends a process.
-                8 if entry.process.handles(Signal::SIGHUP).unwrap() => entry.process.hang_up(),
+                8 if !*is_leaving => {
+                    entry.process.resume();
+                    started(&mut entry.process).await;
+                    entry.process.hang_up();
+                }
                 _ => site.configure(),
             }
         }
