--- a/tests/clients/callers.rs
+++ b/tests/clients/callers.rs
@@ -39,7 +39,7 @@
     assert_within_limits(&mut site.entries[0].process);
 }
 
-/// A job of so many tasks that nobody waits for in vain: they run a long time.
+/// A job of so many tasks with this specification.
 fn job(tasks: usize, spec: &str) -> String {
     format!(
         r#"{{"spec":"{spec}","bestEffort":true,"phases":[{{"count":{tasks},"cpu":1000,"memMb":64,"estimateMs":50}}]}}"#
