--- a/review/stand-3/src/cancelled.rs
+++ b/review/stand-3/src/cancelled.rs
@@ -4,7 +4,7 @@
 use crate::Verdict;
 use crate::http;
 use crate::minion::microseconds;
-use crate::site::{Site, about, two_steps};
+use crate::site::{Site, about, chain};
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
@@ -13,8 +13,9 @@
 const RESEND: Duration = Duration::from_millis(1_300);
 const CANCEL_MS: u64 = 3_000;
 const STOP_MS: u64 = 50;
-/// How long each of the two steps of the job takes.
-const STEP_MS: u64 = 6_500;
+const STEPS: usize = 3;
+/// How long a step of the job takes. The last one begins after all bounds.
+const STEP_MS: u64 = 3_300;
 const PATIENCE: Duration = Duration::from_secs(30);
 /// From the last submission to the cancel, so that it comes over `contactMs` after the broken channel.
 const BEFORE_CANCEL: Duration = Duration::from_millis(2_200);
@@ -51,7 +52,7 @@
 
 fn submit(entry: SocketAddr) -> std::io::Result<TcpStream> {
     let mut channel = TcpStream::connect(entry)?;
-    channel.write_all(about("POST", ID, PATIENCE, &two_steps(STEP_MS)).as_bytes())?;
+    channel.write_all(about("POST", ID, PATIENCE, &chain(STEPS, STEP_MS)).as_bytes())?;
     Ok(channel)
 }
 
--- a/review/stand-3/src/main.rs
+++ b/review/stand-3/src/main.rs
@@ -2,6 +2,7 @@
 //! programs with stand-ins, disturbs it, and checks a rule by what clients and minions have seen.
 
 mod cancelled;
+mod dropped;
 mod http;
 mod minion;
 mod pipelined;
@@ -28,6 +29,7 @@
         }
         ["pipelined", folder, record] => play(folder, record, (2, 4), pipelined::play),
         ["repeated", folder, record] => play(folder, record, (2, 4), repeated::play),
+        ["dropped", folder, record] => play(folder, record, (2, 4), dropped::play),
         ["cancelled", folder, record] => play(folder, record, (2, 4), cancelled::play),
         _ => {
             eprintln!("usage: stand-3 CASE FOLDER RECORD");
--- a/review/stand-3/src/pipelined.rs
+++ b/review/stand-3/src/pipelined.rs
@@ -18,7 +18,7 @@
     let mut channel = TcpStream::connect(site.frontend(0))?;
     channel.set_nodelay(true)?;
     channel.set_read_timeout(Some(PATIENCE))?;
-    channel.write_all(about("POST", FIRST, PATIENCE, &job(2, 4_000)).as_bytes())?;
+    channel.write_all(about("POST", FIRST, PATIENCE, &job(2, 3_500)).as_bytes())?;
     record.note(format!("sent POST {FIRST} to entry 0"));
     std::thread::sleep(Duration::from_millis(50));
     channel.write_all(about("POST", SECOND, PATIENCE, &job(2, 100)).as_bytes())?;
@@ -29,7 +29,7 @@
         record.note("the client's channel is closed; it has had no answer");
         std::thread::sleep(RESEND);
         record.note(format!("sent POST {FIRST} to entry 1"));
-        let text = about("POST", FIRST, PATIENCE, &job(2, 4_000));
+        let text = about("POST", FIRST, PATIENCE, &job(2, 3_500));
         let answer = http::call(site.frontend(1), &text, PATIENCE);
         record.note(format!("answer of entry 1: {answer:?}"));
     } else {
--- a/review/stand-3/src/site.rs
+++ b/review/stand-3/src/site.rs
@@ -23,6 +23,8 @@
 
 pub const HOST: &str = "queue.example";
 pub const PREFIX: &str = "/work/";
+/// The prefix of a second queue, which the cases leave alone.
+pub const OTHER_PREFIX: &str = "/other/";
 
 /// What is written to record.txt: what was sent, answered and run.
 #[derive(Clone, Default)]
@@ -140,7 +142,7 @@
             net,
             lives: 0,
         };
-        site.configure(1);
+        site.configure(1, &[PREFIX, OTHER_PREFIX]);
         for number in 0..entries {
             let file = site.settings(number, entries, true)?;
             let entry = site.daemon("entry", number, &file)?;
@@ -157,12 +159,20 @@
         Ok(site)
     }
 
-    /// Writes a configuration with one queue.
-    fn configure(&self, version: u64) {
+    /// Writes a configuration whose queues have these path prefixes.
+    pub fn configure(&self, version: u64, prefixes: &[&str]) {
+        let route = |prefix: &&str| {
+            format!(
+                "{{\"name\":\"r{}\",\"host\":\"{HOST}\",\"pathPrefix\":\"{prefix}\",\"kind\":\"unsafe\",\
+                 \"timeoutMs\":1500,\"targetLatencyMs\":60,\"priority\":0,\"service\":\"tasks\",\
+                 \"attempts\":3,\"slackFactor\":1.6}}",
+                prefix.replace('/', "-")
+            )
+        };
+        let routes: Vec<String> = prefixes.iter().map(route).collect();
+        let routes = routes.join(",");
         let config = format!(
-            "{{\"version\":{version},\"routes\":[{{\"name\":\"r-1\",\"host\":\"{HOST}\",\
-             \"pathPrefix\":\"{PREFIX}\",\"kind\":\"unsafe\",\"timeoutMs\":1500,\"targetLatencyMs\":60,\
-             \"priority\":0,\"service\":\"tasks\",\"attempts\":3,\"slackFactor\":1.6}}],\
+            "{{\"version\":{version},\"routes\":[{routes}],\
              \"services\":[{{\"name\":\"tasks\",\"healthPath\":\"/health\",\"maxConnections\":64,\
              \"protocol\":\"h1\",\"tls\":false,\"enforceCapacity\":true,\"standby\":false}}],\
              \"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144,\
@@ -359,13 +369,18 @@
     )
 }
 
-/// The same with a second step that starts when the first one is done.
-pub fn two_steps(millis: u64) -> String {
-    let step = format!("\"cpu\":1000,\"memMb\":64,\"estimateMs\":{millis}");
-    format!(
-        "{{\"spec\":\"ms={millis}\",\"bestEffort\":true,\"phases\":[{{\"count\":1,{step}}},\
-         {{\"count\":1,{step},\"dependsOn\":[0]}}]}}"
-    )
+/// A job of so many steps of one task each, which starts when the step before it is done.
+pub fn chain(steps: usize, millis: u64) -> String {
+    let step = |number: usize| {
+        let before: Vec<String> = number.checked_sub(1).iter().map(usize::to_string).collect();
+        format!(
+            "{{\"count\":1,\"cpu\":1000,\"memMb\":64,\"estimateMs\":{millis},\"dependsOn\":[{}]}}",
+            before.join(",")
+        )
+    };
+    let steps: Vec<String> = (0..steps).map(step).collect();
+    let steps = steps.join(",");
+    format!("{{\"spec\":\"ms={millis}\",\"bestEffort\":true,\"phases\":[{steps}]}}")
 }
 
 /// A client's request about a job.
