--- a/review/stand-3/src/site.rs
+++ b/review/stand-3/src/site.rs
@@ -22,7 +22,7 @@
 const METRICS: u16 = 9_464;
 
 pub const HOST: &str = "queue.example";
-pub const PREFIX: &str = "/work/";
+pub const PREFIX: &str = "/bookings/";
 /// The prefix of a second queue, which the cases leave alone.
 pub const OTHER_PREFIX: &str = "/other/";
 
